Name the shared types: ids, fleet, platform and engine interfaces

Conclusion: internal/fleet, internal/plat and internal/engine hold the types; packages own their decisions.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+PREFIX ?= /usr/local
+VERSION ?= 0.1.0
+BINARIES = marigoldscale marigoldscaled marigoldstand
+
+.PHONY: build test bench demo fmt generate install
+
+build:
+	go build -ldflags '-X main.version=$(VERSION)' -o bin/ ./cmd/...
+
+test: build
+	go test -race -timeout 20m ./...
+
+bench: build
+	go run ./cmd/marigoldstand bench --out out
+
+demo: build
+	./scripts/demo
+
+fmt:
+	cd tools && go build -o ../bin/ mvdan.cc/gofumpt
+	git ls-files -co --exclude-standard '*.go' | grep -v '\.pb\.go$$' | xargs -r ./bin/gofumpt -w
+
+generate:
+	cd tools && go build -o ../bin/ google.golang.org/protobuf/cmd/protoc-gen-go google.golang.org/grpc/cmd/protoc-gen-go-grpc
+	PATH="$(CURDIR)/bin:$$PATH" protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative internal/wire/wire.proto
+
+install: build
+	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/share/man/man1
+	install -m 755 bin/marigoldscale bin/marigoldscaled $(DESTDIR)$(PREFIX)/bin/
+	install -m 644 man/*.1 $(DESTDIR)$(PREFIX)/share/man/man1/
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,67 @@
+// Package engine drives one attempt on a model engine or plain service over
+// its published HTTP protocol.
+package engine
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/marigoldscale/marigoldscale/internal/fleet"
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+// The errors that callers of Engine tell apart by errors.Is.
+var (
+	// ErrNotSent means that nothing left this router.
+	ErrNotSent = errors.New("request was not sent")
+	// ErrNotRun means that the endpoint itself says that it ran nothing.
+	ErrNotRun = errors.New("endpoint did not run the request")
+	// ErrBroken means that the connection broke after something was sent.
+	ErrBroken = errors.New("connection to the endpoint broke")
+	// ErrOverloaded means that the endpoint refused the request as too much; it
+	// ran nothing.
+	ErrOverloaded = errors.New("endpoint is overloaded")
+	// ErrRejected means that the endpoint found the request itself at fault.
+	ErrRejected = errors.New("endpoint rejected the request")
+)
+
+// Run is one attempt at a request.
+type Run struct {
+	Address  string
+	Attempt  ident.AttemptID
+	Request  ident.RequestID
+	Release  ident.Release
+	Body     []byte // the caller's JSON body
+	Resume   int    // frames already received, to go on after them
+	Priority fleet.Priority
+	Deadline time.Time
+	Trace    string // W3C traceparent
+}
+
+// Frame is one piece of a streamed answer.
+type Frame struct {
+	Request  ident.RequestID
+	Attempt  ident.AttemptID
+	Sequence int    // from 0, counted over the whole answer
+	Text     string // the piece of the answer
+	Final    bool
+	Usage    Usage // set on the final frame
+	Finish   string
+}
+
+// Usage counts the tokens of an answer.
+type Usage struct {
+	Prompt ident.Tokens
+	Answer ident.Tokens
+}
+
+// Engine runs requests on endpoints.
+type Engine interface {
+	// Stream runs one attempt and hands each frame to emit in the order of
+	// arrival, until the final frame, an error of emit or the end of ctx, which
+	// cancels the run on the endpoint. Frames that are not of this attempt are
+	// handed on too; the caller drops them.
+	Stream(ctx context.Context, run Run, emit func(Frame) error) error
+}
