--- /dev/null
+++ b/internal/stand/delay.go
@@ -0,0 +1,28 @@
+package stand
+
+import (
+	"fmt"
+	"time"
+)
+
+// Delay is a duration that reads and writes as text, such as "150ms".
+type Delay time.Duration
+
+// MarshalText gives the delay in the form of time.Duration.
+func (d Delay) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// UnmarshalText reads the form that MarshalText writes; "" is no delay.
+func (d *Delay) UnmarshalText(text []byte) error {
+	if len(text) == 0 {
+		*d = 0
+		return nil
+	}
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("reading delay: %w", err)
+	}
+	*d = Delay(parsed)
+	return nil
+}
