Serve the stand-ins for platform, engine, plain service and rater over HTTP

Each is an http.Handler with switchable faults at /admin/faults and records at /admin/runs. The engine batches continuously in real time, caches prompt blocks, falls over under too much load in cold start, resumes and cancels.

--- /dev/null
+++ b/internal/stand/chat.go
@@ -0,0 +1,219 @@
+package stand
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
+
+	"github.com/marigoldscale/marigoldscale/internal/fleet"
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+func (e *Engine) routes() http.Handler {
+	server := newEcho()
+	server.POST("/v1/chat/completions", e.serveChat)
+	server.GET("/load", e.serveLoad)
+	server.GET("/cache", e.serveCache)
+	server.POST("/orders", e.serveOrder)
+	server.GET("/orders", func(c echo.Context) error { return c.JSON(http.StatusOK, e.LastOrder()) })
+	adminRoutes(server, e.Faults, e.SetFaults, e.Record)
+	return server
+}
+
+func (e *Engine) serveChat(c echo.Context) error {
+	request, err := readChat(c.Request())
+	if err != nil {
+		return refuse(c, http.StatusBadRequest, "rejected", "no", err.Error())
+	}
+	s, err := e.submit(time.Now(), request)
+	if err != nil {
+		return refuseRun(c, err)
+	}
+	outcome := OutcomeCut
+	defer func() { e.finish(time.Now(), s, outcome) }()
+	if s.fail {
+		outcome = OutcomeFailed
+		return refuse(c, http.StatusInternalServerError, "failed", "unknown", "engine failed")
+	}
+	outcome = e.send(c, s)
+	if outcome == OutcomeCut {
+		cutConnection()
+	}
+	return nil
+}
+
+// send streams the answer frame by frame as the batch generates it.
+func (e *Engine) send(c echo.Context, s *stream) Outcome {
+	c.Response().Header().Set(echo.HeaderContentType, "text/event-stream")
+	c.Response().WriteHeader(http.StatusOK)
+	c.Response().Flush()
+	o := newOutlet(c.Response(), s)
+	for n := s.request.resume; n <= s.total; n++ {
+		if ended := e.await(c, s, n); ended != OutcomeRunning {
+			return ended
+		}
+		if err := o.send(n); err != nil {
+			return OutcomeCancelled
+		}
+		e.countFrame(s)
+	}
+	if err := o.done(); err != nil {
+		return OutcomeCancelled
+	}
+	return OutcomeWhole
+}
+
+// await waits until the n-th frame may be sent, or tells how the run ended.
+// The final frame follows the last token at once.
+func (e *Engine) await(c echo.Context, s *stream, n int) Outcome {
+	sent := n - s.request.resume
+	if s.faults.Cut > 0 && sent >= s.faults.Cut {
+		return OutcomeCut
+	}
+	tokens := s.tokens
+	if s.faults.Stall > 0 && sent >= s.faults.Stall {
+		tokens = nil
+	} else if n == s.total && sent > 0 {
+		return OutcomeRunning
+	}
+	select {
+	case <-tokens:
+	case <-s.cut:
+		return OutcomeCut
+	case <-c.Request().Context().Done():
+		return OutcomeCancelled
+	}
+	if pause(c.Request().Context(), time.Duration(s.faults.Late)) != nil {
+		return OutcomeCancelled
+	}
+	return OutcomeRunning
+}
+
+func (e *Engine) countFrame(s *stream) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	s.run.Frames++
+}
+
+func refuseRun(c echo.Context, err error) error {
+	switch {
+	case errors.Is(err, errOverloaded):
+		return refuse(c, http.StatusServiceUnavailable, "overloaded", "no", err.Error())
+	case errors.Is(err, errLeaving):
+		return refuse(c, http.StatusGone, "leaving", "no", err.Error())
+	case errors.Is(err, errNotLoaded):
+		return refuse(c, http.StatusGone, "absent", "no", err.Error())
+	}
+	cutConnection()
+	return nil
+}
+
+func readChat(r *http.Request) (chatRequest, error) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return chatRequest{}, fmt.Errorf("reading chat request: %w", err)
+	}
+	prompt, err := ReadPrompt(body)
+	if err != nil {
+		return chatRequest{}, err
+	}
+	request := chatRequest{
+		prompt:  prompt,
+		request: ident.RequestID(r.Header.Get("X-Request-Id")),
+		attempt: ident.AttemptID(r.Header.Get("X-Attempt-Id")),
+	}
+	priority, err := numberHeader(r, "X-Priority")
+	if err != nil {
+		return chatRequest{}, err
+	}
+	request.priority = fleet.Priority(priority)
+	request.resume, err = numberHeader(r, "X-Resume")
+	if err != nil {
+		return chatRequest{}, err
+	}
+	if request.resume < 0 || request.resume > prompt.AnswerTokens() {
+		return chatRequest{}, fmt.Errorf("cannot resume after %d of %d frames", request.resume, prompt.AnswerTokens()+1)
+	}
+	return request, readDeadline(r, &request)
+}
+
+func readDeadline(r *http.Request, request *chatRequest) error {
+	header := r.Header.Get("X-Deadline")
+	if header == "" {
+		return nil
+	}
+	deadline, err := time.Parse(time.RFC3339Nano, header)
+	if err != nil {
+		return fmt.Errorf("reading X-Deadline: %w", err)
+	}
+	request.deadline = deadline
+	if !time.Now().Before(deadline) {
+		return errors.New("deadline has passed")
+	}
+	return nil
+}
+
+func numberHeader(r *http.Request, name string) (int, error) {
+	header := r.Header.Get(name)
+	if header == "" {
+		return 0, nil
+	}
+	number, err := strconv.Atoi(header)
+	if err != nil {
+		return 0, fmt.Errorf("reading %s: %w", name, err)
+	}
+	return number, nil
+}
+
+func (e *Engine) serveLoad(c echo.Context) error {
+	load, err := e.Load(time.Now())
+	if err != nil {
+		cutConnection()
+	}
+	return c.JSON(http.StatusOK, load)
+}
+
+func (e *Engine) serveCache(c echo.Context) error {
+	after, err := strconv.ParseUint("0"+c.QueryParam("after"), 10, 64)
+	if err != nil {
+		return refuse(c, http.StatusBadRequest, "rejected", "no", "after is not a number")
+	}
+	page, err := e.Cache(time.Now(), after)
+	if err != nil {
+		cutConnection()
+	}
+	return c.JSON(http.StatusOK, page)
+}
+
+// Cache gives the published cache events after a sequence number.
+func (e *Engine) Cache(now time.Time, after uint64) (CachePage, error) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.down(now) {
+		return CachePage{}, errDown
+	}
+	return e.cache.page(now, after, e.spec.CacheLag), nil
+}
+
+func (e *Engine) serveOrder(c echo.Context) error {
+	var order Order
+	if err := json.NewDecoder(c.Request().Body).Decode(&order); err != nil {
+		return refuse(c, http.StatusBadRequest, "rejected", "no", err.Error())
+	}
+	err := e.Order(time.Now(), order)
+	switch {
+	case errors.Is(err, errDown):
+		cutConnection()
+	case errors.Is(err, errFenced):
+		return refuse(c, http.StatusConflict, "fenced", "no", err.Error())
+	case err != nil:
+		return refuse(c, http.StatusBadRequest, "rejected", "no", err.Error())
+	}
+	return c.JSON(http.StatusOK, order)
+}
