--- /dev/null
+++ b/cmd/marigoldstand/load.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/marigoldscale/marigoldscale/internal/load"
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+type loadCommand struct {
+	Target   []string      `required:"" help:"Base URL of a router; repeat to take them in turn." placeholder:"URL"`
+	Team     []string      `required:"" help:"Team with its API key; repeat for more, the first with weight 1, the next 1/2, then 1/3." placeholder:"TEAM=KEY"`
+	Model    string        `required:"" help:"Model to ask for."`
+	Rate     float64       `default:"10" help:"Requests a second, sent whether or not earlier ones are answered."`
+	Fixed    bool          `help:"Space the requests evenly in place of a Poisson process."`
+	Count    int           `default:"0" help:"Stop after that many requests, 0 for no limit."`
+	Length   time.Duration `default:"10s" help:"Stop after that time."`
+	Limit    int           `default:"20000" help:"Requests in flight; more are dropped and counted."`
+	Seed     uint64        `default:"1" help:"Seed of the arrivals."`
+	Sessions int           `default:"0" help:"Sessions of each team, 0 for none."`
+	Long     float64       `default:"0.2" help:"Share of long prompts, the others being quick questions."`
+	Deadline time.Duration `default:"0s" help:"Deadline of each request, 0 for the team's."`
+	Timeout  time.Duration `default:"2m" help:"Time after which an answer is given up."`
+}
+
+// Run sends the load and prints its result.
+func (c *loadCommand) Run() error {
+	plan, err := c.plan()
+	if err != nil {
+		return err
+	}
+	ctx, release := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer release()
+	result, err := load.New(load.NewClient(c.Timeout), nil).Run(ctx, plan)
+	if err != nil {
+		return fmt.Errorf("running load: %w", err)
+	}
+	encoder := json.NewEncoder(os.Stdout)
+	encoder.SetIndent("", "  ")
+	if err := encoder.Encode(result); err != nil {
+		return fmt.Errorf("printing result: %w", err)
+	}
+	return nil
+}
+
+func (c *loadCommand) plan() (load.Plan, error) {
+	plan := load.Plan{
+		Targets: c.Target,
+		Rate:    c.Rate,
+		Spacing: load.SpacingPoisson,
+		Count:   c.Count,
+		Length:  c.Length,
+		Limit:   c.Limit,
+		Seed:    c.Seed,
+		Mix:     c.mix(),
+	}
+	if c.Fixed {
+		plan.Spacing = load.SpacingFixed
+	}
+	for i, text := range c.Team {
+		name, key, ok := strings.Cut(text, "=")
+		if !ok {
+			return plan, fmt.Errorf("team %q is not of the form TEAM=KEY", text)
+		}
+		plan.Teams = append(plan.Teams, load.Team{
+			ID:       ident.TeamID(name),
+			Key:      key,
+			Weight:   1 / float64(i+1),
+			Sessions: c.Sessions,
+		})
+	}
+	return plan, nil
+}
+
+func (c *loadCommand) mix() []load.Kind {
+	quick := load.QuickQuestion(c.Model)
+	long := load.LongPrompt(c.Model)
+	quick.Weight = 1 - c.Long
+	long.Weight = c.Long
+	quick.Deadline = c.Deadline
+	long.Deadline = c.Deadline
+	switch {
+	case c.Long <= 0:
+		return []load.Kind{quick}
+	case c.Long >= 1:
+		return []load.Kind{long}
+	}
+	return []load.Kind{quick, long}
+}
--- /dev/null
+++ b/cmd/marigoldstand/main.go
@@ -0,0 +1,29 @@
+// Command marigoldstand runs the test machines' stand-ins for the platform,
+// model engines, plain services and the rater, and the load tool.
+package main
+
+import (
+	"github.com/alecthomas/kong"
+)
+
+var version = "dev"
+
+type commands struct {
+	Platform platformCommand  `cmd:"" help:"Run a platform: objects with versions, and the list of instances."`
+	Engine   engineCommand    `cmd:"" help:"Run a model engine."`
+	Plain    plainCommand     `cmd:"" help:"Run a plain service that records what it executes."`
+	Rater    raterCommand     `cmd:"" help:"Run the service that rates answers."`
+	Load     loadCommand      `cmd:"" help:"Send chat requests at a rate and print the latencies as JSON."`
+	Ports    portsCommand     `cmd:"" help:"Print free loopback ports, one a line."`
+	Version  kong.VersionFlag `help:"Print the version."`
+}
+
+func main() {
+	var c commands
+	parsed := kong.Parse(&c,
+		kong.Name("marigoldstand"),
+		kong.Description("Stand-ins for what surrounds marigoldscaled. Faults: PUT /admin/faults; records: GET /admin/runs."),
+		kong.Vars{"version": version},
+	)
+	parsed.FatalIfErrorf(parsed.Run())
+}
--- /dev/null
+++ b/cmd/marigoldstand/platform.go
@@ -0,0 +1,20 @@
+package main
+
+import (
+	"time"
+
+	"github.com/marigoldscale/marigoldscale/internal/stand"
+)
+
+type platformCommand struct {
+	listenFlag
+	Writes float64 `default:"400" help:"Writes a second, 0 for no limit."`
+	Reads  float64 `default:"2000" help:"Reads a second, 0 for no limit."`
+}
+
+// Run serves an empty platform.
+func (c *platformCommand) Run() error {
+	store := stand.NewStore(time.Now)
+	store.SetLimits(stand.Limits{Writes: c.Writes, Reads: c.Reads})
+	return c.serve("platform", stand.NewPlatform(store))
+}
--- /dev/null
+++ b/cmd/marigoldstand/rater.go
@@ -0,0 +1,12 @@
+package main
+
+import "github.com/marigoldscale/marigoldscale/internal/stand"
+
+type raterCommand struct {
+	listenFlag
+}
+
+// Run serves a rater.
+func (c *raterCommand) Run() error {
+	return c.serve("rater", stand.NewRater())
+}
--- /dev/null
+++ b/internal/stand/engine_test.go
@@ -0,0 +1,250 @@
+package stand_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/openai/openai-go/packages/ssestream"
+
+	"github.com/marigoldscale/marigoldscale/internal/stand"
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+type frame struct {
+	Attempt  string `json:"attempt"`
+	Sequence int    `json:"sequence"`
+	Choices  []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+		Finish string `json:"finish_reason"`
+	} `json:"choices"`
+}
+
+var _ = Describe("Engine", func() {
+	release := ident.Release{Model: "big", Version: "1"}
+	var spec stand.EngineSpec
+	var engine *stand.Engine
+	var server *httptest.Server
+
+	BeforeEach(func() {
+		spec = stand.DefaultEngine("e1", release)
+		spec.Pace.Base = time.Millisecond
+		spec.Pace.Stream = 0
+		spec.Outage = 50 * time.Millisecond
+	})
+
+	JustBeforeEach(func() {
+		engine = stand.NewEngine(spec)
+		server = httptest.NewServer(engine)
+		DeferCleanup(func() {
+			engine.Close()
+			server.Close()
+		})
+	})
+
+	body := func(content string, tokens int) string {
+		return fmt.Sprintf(`{"model":"big@1","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, tokens, content)
+	}
+	post := func(ctx context.Context, body string, headers ...string) (*http.Response, error) {
+		request, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL+"/v1/chat/completions", strings.NewReader(body))
+		Expect(err).NotTo(HaveOccurred())
+		request.Header.Set("X-Attempt-Id", "a1")
+		for i := 0; i < len(headers); i += 2 {
+			request.Header.Set(headers[i], headers[i+1])
+		}
+		return http.DefaultClient.Do(request)
+	}
+	read := func(response *http.Response) (frames []frame, done bool) {
+		defer response.Body.Close()
+		events := ssestream.NewDecoder(response)
+		for events.Next() {
+			data := strings.TrimSpace(string(events.Event().Data))
+			if data == "[DONE]" {
+				return frames, true
+			}
+			var f frame
+			Expect(json.Unmarshal([]byte(data), &f)).To(Succeed())
+			frames = append(frames, f)
+		}
+		return frames, false
+	}
+	text := func(frames []frame) string {
+		var b strings.Builder
+		for _, f := range frames {
+			b.WriteString(f.Choices[0].Delta.Content)
+		}
+		return b.String()
+	}
+	begin := func(ctx context.Context, content string) *http.Response {
+		response, err := post(ctx, body(content, 100_000))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusOK))
+		return response
+	}
+
+	It("streams the same whole answer each time, and its rest after a resume", func() {
+		prompt, err := stand.ReadPrompt([]byte(body("hello difficulty=0.25", 9)))
+		Expect(err).NotTo(HaveOccurred())
+		response, err := post(context.Background(), body("hello difficulty=0.25", 9))
+		Expect(err).NotTo(HaveOccurred())
+		whole, done := read(response)
+		Expect(done).To(BeTrue())
+		Expect(text(whole)).To(Equal(prompt.Answer(0.9)))
+		Expect(stand.MarkedQuality(text(whole))).To(Equal(ident.Quality(0.95)))
+		for resume := range 10 {
+			response, err := post(context.Background(), body("hello difficulty=0.25", 9), "X-Resume", fmt.Sprint(resume))
+			Expect(err).NotTo(HaveOccurred())
+			rest, done := read(response)
+			Expect(done).To(BeTrue())
+			Expect(rest).To(Equal(whole[resume:]), "resumed after %d", resume)
+		}
+	})
+
+	It("cancels a run whose connection is closed", func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		response := begin(ctx, "long")
+		cancel()
+		Expect(response.Body.Close()).To(Succeed())
+		Eventually(func() []stand.EngineRun { return engine.Record().Runs }).Should(ConsistOf(HaveField("Outcome", stand.OutcomeCancelled)))
+		Eventually(func() (stand.Load, error) { return engine.Load(time.Now()) }).Should(HaveField("Running", 0))
+	})
+
+	Context("in cold start", func() {
+		BeforeEach(func() {
+			spec.Cold = 2
+			spec.WarmTime = time.Hour
+		})
+
+		It("falls over under one request too many, and comes back cold", func() {
+			boot := engine.Record().Boot
+			first := begin(context.Background(), "first")
+			second := begin(context.Background(), "second")
+			_, err := post(context.Background(), body("third", 1))
+			Expect(err).To(HaveOccurred())
+			for _, r := range []*http.Response{first, second} {
+				_, done := read(r)
+				Expect(done).To(BeFalse())
+			}
+			record := engine.Record()
+			Expect(record.Falls).To(Equal(1))
+			Expect(record.Peak).To(Equal(3))
+			Expect(record.Boot).NotTo(Equal(boot))
+			Eventually(func() (stand.Load, error) { return engine.Load(time.Now()) }).Should(HaveField("Warm", false))
+		})
+	})
+
+	It("is cut together with its neighbours by a poisonous prompt", func() {
+		engine.SetFaults(stand.EngineFaults{Poison: "venom"})
+		neighbour := begin(context.Background(), "innocent")
+		_, err := post(context.Background(), body("some venom", 1))
+		Expect(err).To(HaveOccurred())
+		_, done := read(neighbour)
+		Expect(done).To(BeFalse())
+		Expect(engine.Record().Crashes).To(Equal(1))
+		Expect(engine.Record().Falls).To(BeZero())
+	})
+
+	It("doubles, swaps and mixes in frames, yet sends each of them", func() {
+		engine.SetFaults(stand.EngineFaults{Double: 0.5, Swap: 0.34, Foreign: 0.25})
+		response, err := post(context.Background(), body("frames", 12))
+		Expect(err).NotTo(HaveOccurred())
+		frames, done := read(response)
+		Expect(done).To(BeTrue())
+		seen := map[int]int{}
+		foreign, swapped, previous := 0, 0, -1
+		for _, f := range frames {
+			if f.Attempt != "a1" {
+				foreign++
+				continue
+			}
+			seen[f.Sequence]++
+			if f.Sequence < previous {
+				swapped++
+			}
+			previous = f.Sequence
+		}
+		Expect(seen).To(HaveLen(13))
+		Expect(seen).To(ContainElement(BeNumerically(">", 1)))
+		Expect(foreign).To(Equal(3))
+		Expect(swapped).To(BeNumerically(">", 0))
+	})
+
+	DescribeTable("harms only the runs that a fault names", func(faults stand.EngineFaults, status int, whole bool) {
+		faults.Match = "team-a"
+		engine.SetFaults(faults)
+		response, err := post(context.Background(), body("from team-a", 8))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(status))
+		frames, done := read(response)
+		Expect(done && text(frames) != "").To(Equal(whole))
+		response, err = post(context.Background(), body("from team-b", 8))
+		Expect(err).NotTo(HaveOccurred())
+		frames, done = read(response)
+		Expect(done).To(BeTrue())
+		Expect(frames).To(HaveLen(9))
+	},
+		Entry("errors", stand.EngineFaults{Errors: 1}, http.StatusInternalServerError, false),
+		Entry("empty answers", stand.EngineFaults{Empty: 1}, http.StatusOK, false),
+		Entry("a cut stream", stand.EngineFaults{Cut: 3}, http.StatusOK, false),
+		Entry("low quality", stand.EngineFaults{Quality: 0.5}, http.StatusOK, true),
+	)
+
+	DescribeTable("says that it did not run", func(faults stand.EngineFaults, body string, status int, code string) {
+		engine.SetFaults(faults)
+		response, err := post(context.Background(), body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(status))
+		Expect(response).To(HaveHTTPBody(And(ContainSubstring(`"code":"`+code+`"`), ContainSubstring(`"ran":"no"`))))
+		Expect(engine.Record().Runs).To(BeEmpty())
+	},
+		Entry("overloaded", stand.EngineFaults{Refuse: true}, body("x", 1), http.StatusServiceUnavailable, "overloaded"),
+		Entry("leaving", stand.EngineFaults{Leaving: true}, body("x", 1), http.StatusGone, "leaving"),
+		Entry("other release", stand.EngineFaults{}, strings.Replace(body("x", 1), "big@1", "big@2", 1), http.StatusGone, "absent"),
+		Entry("bad body", stand.EngineFaults{}, `{"model":`, http.StatusBadRequest, "rejected"),
+	)
+
+	It("prefills less when the prefix is cached, and says so later, with gaps", func() {
+		long := strings.Repeat("history ", 4000)
+		first := time.Now()
+		response, err := post(context.Background(), body(long, 1))
+		Expect(err).NotTo(HaveOccurred())
+		read(response)
+		uncached := time.Since(first)
+		second := time.Now()
+		response, err = post(context.Background(), body(long+"and more", 1))
+		Expect(err).NotTo(HaveOccurred())
+		read(response)
+		Expect(time.Since(second)).To(BeNumerically("<", uncached/2))
+		early, err := engine.Cache(first, 0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(early.Events).To(BeEmpty())
+		late, err := engine.Cache(time.Now().Add(time.Second), 0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(len(late.Events)).To(BeNumerically("<", late.Upto))
+	})
+
+	DescribeTable("keeps or ignores the fencing number of orders", func(fenced bool) {
+		spec.Fenced = fenced
+		e := stand.NewEngine(spec)
+		DeferCleanup(e.Close)
+		next := ident.Release{Model: "big", Version: "2"}
+		Expect(e.Order(time.Now(), stand.Order{Kind: stand.OrderLoad, Release: next, Fence: 5})).To(Succeed())
+		err := e.Order(time.Now(), stand.Order{Kind: stand.OrderUnload, Release: next, Fence: 4})
+		Expect(err == nil).To(Equal(!fenced))
+		Expect(e.LastOrder().Fence == 5).To(Equal(fenced))
+		load, err := e.Load(time.Now())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(load.Release == next).To(Equal(fenced))
+	},
+		Entry("checked", true),
+		Entry("ignored", false),
+	)
+})
--- a/internal/stand/prompt.go
+++ b/internal/stand/prompt.go
@@ -49,18 +49,40 @@
 
 // ReadPrompt decodes a chat request whose model is of the form name@version.
 func ReadPrompt(body []byte) (Prompt, error) {
-	var b chatBody
-	if err := json.Unmarshal(body, &b); err != nil {
-		return Prompt{}, fmt.Errorf("decoding chat request: %w", err)
+	b, err := readBody(body)
+	if err != nil {
+		return Prompt{}, err
 	}
 	release, err := ident.ParseRelease(b.Model)
 	if err != nil {
 		return Prompt{}, fmt.Errorf("reading model: %w", err)
 	}
+	return b.prompt(release), nil
+}
+
+// PromptFor decodes a caller's chat request, whatever model it names, as the
+// release receives it.
+func PromptFor(body []byte, release ident.Release) (Prompt, error) {
+	b, err := readBody(body)
+	if err != nil {
+		return Prompt{}, err
+	}
+	return b.prompt(release), nil
+}
+
+func readBody(body []byte) (chatBody, error) {
+	var b chatBody
+	if err := json.Unmarshal(body, &b); err != nil {
+		return b, fmt.Errorf("decoding chat request: %w", err)
+	}
 	if len(b.Messages) == 0 {
-		return Prompt{}, errors.New("chat request has no messages")
+		return b, errors.New("chat request has no messages")
 	}
-	return Prompt{Release: release, Text: text(b.Messages), Limit: max(b.MaxTokens, b.MaxCompletion)}, nil
+	return b, nil
+}
+
+func (b chatBody) prompt(release ident.Release) Prompt {
+	return Prompt{Release: release, Text: text(b.Messages), Limit: max(b.MaxTokens, b.MaxCompletion)}
 }
 
 // Tokens gives the length of the prompt.
--- /dev/null
+++ b/internal/stand/suite_test.go
@@ -0,0 +1,28 @@
+package stand_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// seed makes the property tests repeat themselves; -rapid.seed replaces it.
+const seed = "20261203"
+
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", seed); err != nil {
+		panic(err)
+	}
+	flag.Parse()
+	fmt.Println("rapid.seed", flag.Lookup("rapid.seed").Value)
+	os.Exit(m.Run())
+}
+
+func TestStand(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "stand")
+}
