--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -23,6 +23,10 @@
 	// ErrOverloaded means that the endpoint refused the request as too much; it
 	// ran nothing.
 	ErrOverloaded = errors.New("endpoint is overloaded")
+	// ErrLeaving means that the endpoint takes no new work; it ran nothing.
+	ErrLeaving = errors.New("endpoint is leaving")
+	// ErrFenced means that the endpoint refused an order for its old fence.
+	ErrFenced = errors.New("order carries an old fence")
 	// ErrRejected means that the endpoint found the request itself at fault.
 	ErrRejected = errors.New("endpoint rejected the request")
 )
@@ -34,6 +38,8 @@
 	Request  ident.RequestID
 	Release  ident.Release
 	Body     []byte // the caller's JSON body
+	Path     string // below /call/, for a plain service
+	Key      string // idempotency key, for a plain service
 	Resume   int    // frames already received, to go on after them
 	Priority fleet.Priority
 	Deadline time.Time
@@ -57,6 +63,13 @@
 	Answer ident.Tokens
 }
 
+// Answer is the whole answer of a plain service.
+type Answer struct {
+	Status int // HTTP status; errors of the service itself are answers too
+	Type   string
+	Body   []byte
+}
+
 // Engine runs requests on endpoints.
 type Engine interface {
 	// Stream runs one attempt and hands each frame to emit in the order of
@@ -64,4 +77,6 @@
 	// cancels the run on the endpoint. Frames that are not of this attempt are
 	// handed on too; the caller drops them.
 	Stream(ctx context.Context, run Run, emit func(Frame) error) error
+	// Call runs one attempt on a plain service and gives its whole answer.
+	Call(ctx context.Context, run Run) (Answer, error)
 }
