--- /dev/null
+++ b/internal/front/call.go
@@ -0,0 +1,84 @@
+package front
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"unicode/utf8"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/marigoldscale/marigoldscale/internal/flow"
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+// call answers POST /v1/services/{service}/{path}.
+func (f *Front) call(c echo.Context) error {
+	leave, err := f.enter()
+	if err != nil {
+		return err
+	}
+	defer leave()
+	r, err := f.decodeCall(c)
+	if err != nil {
+		return err
+	}
+	result := f.runner.Run(c.Request().Context(), r, &collector{})
+	if result.Refusal != nil {
+		return result.Refusal
+	}
+	header := c.Response().Header()
+	header.Set("X-Cost-Micros", strconv.FormatInt(int64(result.Cost), 10))
+	header.Set("X-Repeat", strconv.FormatBool(result.Repeat))
+	return c.Blob(result.Answer.Status, result.Answer.Type, result.Answer.Body)
+}
+
+func (f *Front) decodeCall(c echo.Context) (flow.Request, error) {
+	snapshot, team, err := f.admit(c)
+	if err != nil {
+		return flow.Request{}, err
+	}
+	service, ok := snapshot.Config.Services[ident.ServiceID(c.Param("service"))]
+	if !ok || !team.AllowsService(service.ID) {
+		message := "service " + strconv.Quote(c.Param("service")) + " does not exist or is not allowed to team " + strconv.Quote(string(team.ID))
+		return flow.Request{}, &flow.Refusal{Code: flow.CodeUnknown, Message: message, Ran: flow.RanNo}
+	}
+	body, err := readBody(c.Request(), f.limits.Body)
+	if err != nil {
+		return flow.Request{}, err
+	}
+	path := c.Param("*")
+	if strings.Contains(path, "..") || !utf8.ValidString(path) {
+		return flow.Request{}, invalid("path " + strconv.Quote(path) + " is not allowed")
+	}
+	r := flow.Request{
+		Team:       team,
+		Service:    service.ID,
+		Path:       path,
+		Body:       body,
+		Tokens:     1,
+		Idempotent: service.Idempotent,
+		Quick:      true,
+	}
+	return r, f.readCallHeaders(&r, c.Request().Header, service.Idempotent)
+}
+
+// readCallHeaders requires a key where a call may not be repeated, and makes
+// it the request's id, so that each repeat is recognised as one.
+func (f *Front) readCallHeaders(r *flow.Request, header http.Header, idempotent bool) error {
+	key, err := id(header, "Idempotency-Key")
+	if err != nil {
+		return err
+	}
+	if key == "" && !idempotent {
+		return invalid("header Idempotency-Key is missing; service " + strconv.Quote(string(r.Service)) + " needs it")
+	}
+	if err := readHeaders(r, header, f.now()); err != nil {
+		return err
+	}
+	r.Idempotency = key
+	if key != "" {
+		r.Key.Request = ident.RequestID("call:" + string(r.Service) + ":" + key)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/front/refuse.go
@@ -0,0 +1,130 @@
+package front
+
+import (
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/marigoldscale/marigoldscale/internal/flow"
+)
+
+// errorBody is the JSON form of every error, as OpenAI clients expect it.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+	Code    string `json:"code"`
+	Ran     string `json:"ran"`
+	After   int64  `json:"retry_after_ms,omitempty"`
+}
+
+// handleError answers with the JSON form of an error.
+func (f *Front) handleError(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	refusal := asRefusal(err)
+	setRefusalHeaders(c.Response().Header(), refusal)
+	if err := c.JSON(status(refusal.Code), newErrorBody(refusal)); err != nil {
+		f.log.Debug("writing refusal", zap.Error(err))
+	}
+}
+
+func newErrorBody(r *flow.Refusal) errorBody {
+	return errorBody{Error: errorDetail{
+		Message: r.Message,
+		Type:    errorType(r.Code),
+		Code:    string(r.Code),
+		Ran:     string(r.Ran),
+		After:   r.After.Milliseconds(),
+	}}
+}
+
+func setRefusalHeaders(header http.Header, r *flow.Refusal) {
+	header.Set("X-Ran", string(r.Ran))
+	// Official clients repeat some errors by themselves unless told otherwise.
+	header.Set("X-Should-Retry", strconv.FormatBool(r.Ran == flow.RanNo && r.After > 0))
+	if r.After <= 0 {
+		return
+	}
+	header.Set("Retry-After", strconv.Itoa(int(math.Ceil(r.After.Seconds()))))
+	header.Set("Retry-After-Ms", strconv.FormatInt(r.After.Milliseconds(), 10))
+}
+
+func asRefusal(err error) *flow.Refusal {
+	var refusal *flow.Refusal
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	var routed *echo.HTTPError
+	if errors.As(err, &routed) {
+		return routedRefusal(routed)
+	}
+	return &flow.Refusal{Code: flow.CodeFailed, Message: err.Error(), Ran: flow.RanUnknown}
+}
+
+// routedRefusal translates echo's own errors, which all precede the handlers.
+func routedRefusal(e *echo.HTTPError) *flow.Refusal {
+	code := flow.CodeInvalid
+	if e.Code == http.StatusNotFound {
+		code = flow.CodeUnknown
+	}
+	return &flow.Refusal{Code: code, Message: http.StatusText(e.Code), Ran: flow.RanNo}
+}
+
+func status(code flow.Code) int {
+	switch code {
+	case flow.CodeInvalid:
+		return http.StatusBadRequest
+	case flow.CodeTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case flow.CodeUnauthorized:
+		return http.StatusUnauthorized
+	case flow.CodeForbidden:
+		return http.StatusForbidden
+	case flow.CodeUnknown:
+		return http.StatusNotFound
+	case flow.CodeRunning, flow.CodeWithdrawn, flow.CodeOutcome:
+		return http.StatusConflict
+	case flow.CodeCrashes:
+		return http.StatusUnprocessableEntity
+	case flow.CodeRate:
+		return http.StatusTooManyRequests
+	case flow.CodeDeadline:
+		return http.StatusGatewayTimeout
+	case flow.CodeFailed:
+		return http.StatusBadGateway
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+func errorType(code flow.Code) string {
+	switch status(code) / 100 {
+	case 4:
+		return "invalid_request_error"
+	default:
+		return "server_error"
+	}
+}
+
+func invalid(message string) *flow.Refusal {
+	return &flow.Refusal{Code: flow.CodeInvalid, Message: message, Ran: flow.RanNo}
+}
+
+func notReady() *flow.Refusal {
+	return &flow.Refusal{
+		Code:    flow.CodeNotReady,
+		Message: "this router has no configuration that was confirmed as current",
+		Ran:     flow.RanNo,
+		After:   time.Second,
+	}
+}
