--- /dev/null
+++ b/internal/plat/class.go
@@ -0,0 +1,17 @@
+package plat
+
+// String gives the class's name in metrics and errors.
+func (c Class) String() string {
+	switch c {
+	case ClassClaim:
+		return "claim"
+	case ClassConfig:
+		return "config"
+	case ClassBill:
+		return "bill"
+	case ClassStatus:
+		return "status"
+	default:
+		return "unknown"
+	}
+}
--- /dev/null
+++ b/internal/shard/batch.go
@@ -0,0 +1,183 @@
+package shard
+
+import (
+	"encoding/json"
+	"fmt"
+)
+
+// Sequence numbers the batches of a shard's log, from 1.
+type Sequence uint64
+
+// Batch is one committed group of records, the unit of a conditional write.
+type Batch struct {
+	Sequence Sequence
+	Nonce    Nonce // names the write
+	Records  []Record
+}
+
+// wireBatch is the stored form of a batch.
+type wireBatch struct {
+	Sequence Sequence     `json:"sequence"`
+	Nonce    Nonce        `json:"nonce"`
+	Records  []wireRecord `json:"records"`
+}
+
+// wireRecord holds one record under the name of its kind.
+type wireRecord struct {
+	Claim   *Claim   `json:"claim,omitempty"`
+	Outcome *Outcome `json:"outcome,omitempty"`
+	Release *Release `json:"release,omitempty"`
+	Bill    *Bill    `json:"bill,omitempty"`
+	Bind    *Bind    `json:"bind,omitempty"`
+}
+
+// wireResult holds one result under the name of its kind.
+type wireResult struct {
+	Granted     *Granted     `json:"granted,omitempty"`
+	Taken       *Taken       `json:"taken,omitempty"`
+	Released    *Released    `json:"released,omitempty"`
+	Durable     *Durable     `json:"durable,omitempty"`
+	Bound       *Bound       `json:"bound,omitempty"`
+	Unavailable *Unavailable `json:"unavailable,omitempty"`
+	Queued      *Queued      `json:"queued,omitempty"`
+}
+
+// EncodeRecord gives the record's form on peer links.
+func EncodeRecord(record Record) ([]byte, error) {
+	text, err := json.Marshal(wrapRecord(record))
+	if err != nil {
+		return nil, fmt.Errorf("encode record: %w", err)
+	}
+	return text, nil
+}
+
+// DecodeRecord reads what EncodeRecord wrote.
+func DecodeRecord(text []byte) (Record, error) {
+	var w wireRecord
+	if err := json.Unmarshal(text, &w); err != nil {
+		return nil, fmt.Errorf("decode record: %w", err)
+	}
+	return w.unwrap()
+}
+
+// EncodeResult gives the result's form on peer links.
+func EncodeResult(result Result) ([]byte, error) {
+	text, err := json.Marshal(wrapResult(result))
+	if err != nil {
+		return nil, fmt.Errorf("encode result: %w", err)
+	}
+	return text, nil
+}
+
+// DecodeResult reads what EncodeResult wrote.
+func DecodeResult(text []byte) (Result, error) {
+	var w wireResult
+	if err := json.Unmarshal(text, &w); err != nil {
+		return nil, fmt.Errorf("decode result: %w", err)
+	}
+	return w.unwrap()
+}
+
+func encodeBatch(b Batch) ([]byte, error) {
+	w := wireBatch{Sequence: b.Sequence, Nonce: b.Nonce}
+	for _, r := range b.Records {
+		w.Records = append(w.Records, wrapRecord(r))
+	}
+	text, err := json.Marshal(w)
+	if err != nil {
+		return nil, fmt.Errorf("encode batch %d: %w", b.Sequence, err)
+	}
+	return text, nil
+}
+
+func decodeBatch(text []byte) (Batch, error) {
+	var w wireBatch
+	if err := json.Unmarshal(text, &w); err != nil {
+		return Batch{}, fmt.Errorf("decode batch: %w", err)
+	}
+	b := Batch{Sequence: w.Sequence, Nonce: w.Nonce}
+	for _, r := range w.Records {
+		record, err := r.unwrap()
+		if err != nil {
+			return Batch{}, fmt.Errorf("batch %d: %w", w.Sequence, err)
+		}
+		b.Records = append(b.Records, record)
+	}
+	return b, nil
+}
+
+func wrapRecord(record Record) wireRecord {
+	switch r := record.(type) {
+	case Claim:
+		return wireRecord{Claim: &r}
+	case Outcome:
+		return wireRecord{Outcome: &r}
+	case Release:
+		return wireRecord{Release: &r}
+	case Bill:
+		return wireRecord{Bill: &r}
+	case Bind:
+		return wireRecord{Bind: &r}
+	default:
+		return wireRecord{}
+	}
+}
+
+func (w wireRecord) unwrap() (Record, error) {
+	switch {
+	case w.Claim != nil:
+		return *w.Claim, nil
+	case w.Outcome != nil:
+		return *w.Outcome, nil
+	case w.Release != nil:
+		return *w.Release, nil
+	case w.Bill != nil:
+		return *w.Bill, nil
+	case w.Bind != nil:
+		return *w.Bind, nil
+	default:
+		return nil, fmt.Errorf("record is of no known kind, its writer may be newer")
+	}
+}
+
+func wrapResult(result Result) wireResult {
+	switch r := result.(type) {
+	case Granted:
+		return wireResult{Granted: &r}
+	case Taken:
+		return wireResult{Taken: &r}
+	case Released:
+		return wireResult{Released: &r}
+	case Durable:
+		return wireResult{Durable: &r}
+	case Bound:
+		return wireResult{Bound: &r}
+	case Unavailable:
+		return wireResult{Unavailable: &r}
+	case Queued:
+		return wireResult{Queued: &r}
+	default:
+		return wireResult{}
+	}
+}
+
+func (w wireResult) unwrap() (Result, error) {
+	switch {
+	case w.Granted != nil:
+		return *w.Granted, nil
+	case w.Taken != nil:
+		return *w.Taken, nil
+	case w.Released != nil:
+		return *w.Released, nil
+	case w.Durable != nil:
+		return *w.Durable, nil
+	case w.Bound != nil:
+		return *w.Bound, nil
+	case w.Unavailable != nil:
+		return *w.Unavailable, nil
+	case w.Queued != nil:
+		return *w.Queued, nil
+	default:
+		return nil, fmt.Errorf("result is of no known kind, its writer may be newer")
+	}
+}
--- /dev/null
+++ b/internal/shard/state.go
@@ -0,0 +1,141 @@
+package shard
+
+import (
+	"time"
+
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+// State is the fold of a shard's records.
+type State struct {
+	claims   map[ident.RequestKey]entry
+	released map[Nonce]time.Time
+	bills    map[ident.RequestKey]Bill
+	binds    map[bindKey]Bind
+	doubled  int
+}
+
+// entry is a claim with its outcome, once there is one.
+type entry struct {
+	claim   Claim
+	outcome *Outcome
+}
+
+// bindKey identifies a binding: a session may use several models.
+type bindKey struct {
+	session ident.SessionKey
+	model   ident.ModelID
+}
+
+// NewState gives the state of an empty shard.
+func NewState() *State {
+	return &State{
+		claims:   map[ident.RequestKey]entry{},
+		released: map[Nonce]time.Time{},
+		bills:    map[ident.RequestKey]Bill{},
+		binds:    map[bindKey]Bind{},
+	}
+}
+
+// Apply folds the batch's records in order. Applying a record again changes
+// nothing.
+func (s *State) Apply(batch Batch) {
+	for _, r := range batch.Records {
+		s.apply(r)
+	}
+}
+
+// Decide answers a record from the state alone. It fails to answer (false) as
+// long as the record would still change the state.
+func (s *State) Decide(record Record) (Result, bool) {
+	switch r := record.(type) {
+	case Claim:
+		return s.decideClaim(r)
+	case Outcome:
+		e, ok := s.claims[r.Key]
+		return Durable{}, ok && e.outcome != nil
+	case Release:
+		_, ok := s.released[r.Nonce]
+		return Durable{}, ok
+	case Bill:
+		_, ok := s.bills[r.Key]
+		return Durable{}, ok
+	case Bind:
+		b, ok := s.binds[bindKey{r.Session, r.Model}]
+		return Bound{Version: b.Version}, ok && !moves(b, r)
+	default:
+		return nil, false
+	}
+}
+
+// Doubled counts the bills that changed nothing, as their key had one.
+func (s *State) Doubled() int {
+	return s.doubled
+}
+
+func (s *State) decideClaim(c Claim) (Result, bool) {
+	if _, ok := s.released[c.Nonce]; ok {
+		return Released{}, true
+	}
+	e, ok := s.claims[c.Key]
+	if !ok {
+		return nil, false
+	}
+	if e.claim.Nonce == c.Nonce {
+		return Granted{}, true
+	}
+	return Taken{By: e.claim, Outcome: e.outcome}, true
+}
+
+func (s *State) apply(record Record) {
+	switch r := record.(type) {
+	case Claim:
+		s.applyClaim(r)
+	case Outcome:
+		s.applyOutcome(r)
+	case Release:
+		s.applyRelease(r)
+	case Bill:
+		s.applyBill(r)
+	case Bind:
+		k := bindKey{r.Session, r.Model}
+		if b, ok := s.binds[k]; !ok || moves(b, r) {
+			s.binds[k] = r
+		}
+	}
+}
+
+func (s *State) applyClaim(c Claim) {
+	if _, ok := s.decideClaim(c); !ok {
+		s.claims[c.Key] = entry{claim: c}
+	}
+}
+
+func (s *State) applyOutcome(o Outcome) {
+	e := s.claims[o.Key]
+	if e.outcome == nil {
+		e.outcome = &o
+		s.claims[o.Key] = e
+	}
+}
+
+func (s *State) applyRelease(r Release) {
+	s.released[r.Nonce] = r.At
+	e, ok := s.claims[r.Key]
+	if ok && e.claim.Nonce == r.Nonce && e.outcome == nil {
+		delete(s.claims, r.Key)
+	}
+}
+
+func (s *State) applyBill(b Bill) {
+	if _, ok := s.bills[b.Key]; ok {
+		s.doubled++
+		return
+	}
+	s.bills[b.Key] = b
+}
+
+// moves tells whether a bind changes an existing binding.
+func moves(old, next Bind) bool {
+	return next.Was != "" && old.Version == next.Was && next.Version != next.Was
+}
