--- /dev/null
+++ b/internal/roll/assign.go
@@ -0,0 +1,88 @@
+package roll
+
+import (
+	"math"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/marigoldscale/marigoldscale/internal/fleet"
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+// Seed gives the hash of a session by which it is assigned to a version.
+func Seed(session ident.SessionKey) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(string(session.Team))
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(string(session.Session))
+	return d.Sum64()
+}
+
+// Choice is the version that a new session gets.
+type Choice struct {
+	Version   ident.VersionID
+	Candidate bool // the version is under roll-out; the session counts as exposed
+}
+
+// Assign chooses the version of a new session by the hash of the session
+// within the step in force. It is false if the team may use no version.
+func Assign(seed uint64, snapshot *fleet.Snapshot, team *fleet.Team, model ident.ModelID, quota Quota) (Choice, bool) {
+	m, ok := snapshot.Config.Models[model]
+	if !ok {
+		return Choice{}, false
+	}
+	allowed := func(v ident.VersionID) bool {
+		r := ident.Release{Model: model, Version: v}
+		return snapshot.Allowed(r) && team.Allows(r)
+	}
+	rollout := snapshot.Config.Rollouts[model]
+	state, started := snapshot.Rollouts[model]
+	running := rollout != nil && !rollout.Aborted && started && state.To == rollout.To
+	if running && allowed(rollout.To) {
+		if state.Step >= len(rollout.Steps) {
+			return Choice{Version: rollout.To}, true
+		}
+		if inStep(seed, rollout, state, quota) {
+			return Choice{Version: rollout.To, Candidate: true}, true
+		}
+	}
+	return stable(m, rollout, allowed)
+}
+
+// stable gives the default version, or else the last declared version that is
+// allowed and not under roll-out.
+func stable(m *fleet.Model, rollout *fleet.Rollout, allowed func(ident.VersionID) bool) (Choice, bool) {
+	if allowed(m.Default) {
+		return Choice{Version: m.Default}, true
+	}
+	for i := len(m.Versions) - 1; i >= 0; i-- {
+		v := m.Versions[i]
+		if allowed(v) && (rollout == nil || v != rollout.To) {
+			return Choice{Version: v}, true
+		}
+	}
+	return Choice{}, false
+}
+
+func inStep(seed uint64, rollout *fleet.Rollout, state fleet.RolloutState, quota Quota) bool {
+	if state.Full || quota.Limited && quota.Left <= 0 {
+		return false
+	}
+	share := float64(rollout.Steps[state.Step].Share)
+	return spread(seed, rollout) < share
+}
+
+// spread maps a session to [0, 1), differently for each roll-out, so that the
+// same sessions do not bear every roll-out's first step.
+func spread(seed uint64, rollout *fleet.Rollout) float64 {
+	mixed := seed ^ xxhash.Sum64String(string(rollout.Model)) ^ xxhash.Sum64String(string(rollout.To))*3
+	return float64(mix(mixed)>>11) / math.Exp2(53)
+}
+
+// mix is the finaliser of SplitMix64.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
