--- /dev/null
+++ b/internal/flow/flow.go
@@ -0,0 +1,340 @@
+package flow
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/marigoldscale/marigoldscale/internal/engine"
+	"github.com/marigoldscale/marigoldscale/internal/fleet"
+	"github.com/marigoldscale/marigoldscale/internal/retry"
+	"github.com/marigoldscale/marigoldscale/internal/shard"
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+const (
+	// window is the number of frames held ahead of a missing one.
+	window = 64
+	// comeBack is the pause after which a refused caller is asked to return
+	// when nothing better is known.
+	comeBack = time.Second
+)
+
+// Pricer gives the price of an answer.
+type Pricer func(release ident.Release, usage engine.Usage) ident.Micros
+
+// Flow is the machine of one request. It belongs to one goroutine.
+type Flow struct {
+	request   Request
+	prefix    string // of attempt ids, unique over the fleet
+	budget    *retry.Budget
+	price     Pricer
+	stage     stage
+	suspicion fleet.Suspicion
+	rungs     []Rung
+	rung      int
+	meta      Meta
+	assembler *retry.Assembler
+	attempts  map[ident.AttemptID]*attempt
+	made      int // attempts, over all rungs
+	tried     int // attempts of this rung
+	exclude   []ident.EndpointID
+	alone     bool
+	died      bool // the last attempt's endpoint may have died under it
+	hedging   bool // a Place for a hedge is open
+	last      ident.EndpointID
+	held      []string // pieces of an answer that is not yet passed on
+	empty     bool     // no text was received
+	open      bool     // pieces were passed on
+	delivered int      // frames passed on
+	usage     engine.Usage
+	finish    string
+	claimed   bool
+	ran       Ran
+	broken    int // attempts that broke after something was sent
+	replied   bool
+	answer    *engine.Answer
+}
+
+// stage is what a flow waits for.
+type stage int
+
+const (
+	stageAdmit stage = iota
+	stagePlan
+	stageBind
+	stageClaim
+	stageGuard
+	stagePlace
+	stageRun
+	stageRate
+	stageSettle
+	stageOver
+)
+
+// attempt is one that was dispatched and has not ended.
+type attempt struct {
+	endpoint *fleet.Endpoint
+	started  time.Time
+	expected time.Duration
+	lost     bool // cancelled
+}
+
+// New makes the flow of a request. Attempt ids begin with prefix.
+func New(request Request, prefix string, budget *retry.Budget, price Pricer) *Flow {
+	return &Flow{
+		request:  request,
+		prefix:   prefix,
+		budget:   budget,
+		price:    price,
+		attempts: map[ident.AttemptID]*attempt{},
+		ran:      RanNo,
+		empty:    true,
+	}
+}
+
+// Over tells whether nothing is left to do. It may come after the reply, while
+// the outcome of a claimed request is still awaited.
+func (f *Flow) Over() bool {
+	return f.stage == stageOver && len(f.attempts) == 0
+}
+
+// Step takes an event and gives what to do about it.
+func (f *Flow) Step(now time.Time, e Event) []Action {
+	switch e := e.(type) {
+	case Received:
+		return f.received(now, e.Frame)
+	case Ended:
+		return f.ended(now, e)
+	case Expired:
+		return f.expired(now)
+	case Left:
+		return f.left()
+	}
+	if f.stage == stageOver {
+		return f.late(e)
+	}
+	switch e := e.(type) {
+	case Begin:
+		f.suspicion = e.Suspicion
+		return []Action{Ask{}}
+	case Admitted:
+		return f.admitted()
+	case Denied:
+		return f.refuse(e.Refusal)
+	case Planned:
+		f.rungs = e.Rungs
+		return f.bind()
+	case Bound:
+		f.meta = e.Meta
+		return f.guard()
+	case Claimed:
+		return f.granted(e.Result)
+	case Guarded:
+		return f.guarded(now, e)
+	case Placed:
+		return f.placed(now, e)
+	case Full:
+		return f.full(now, e)
+	case Barren:
+		return f.barren(e)
+	case Judged:
+		return f.judged(e)
+	case Settled:
+		return f.settled()
+	case Woken:
+		return f.woken(now, e.Timer)
+	default:
+		return nil
+	}
+}
+
+// late gives back what was asked for before the flow ended.
+func (f *Flow) late(e Event) []Action {
+	switch e := e.(type) {
+	case Claimed:
+		if _, granted := e.Result.(shard.Granted); granted {
+			return []Action{Unclaim{}}
+		}
+		return nil
+	case Placed:
+		return f.forgo(e)
+	default:
+		return nil
+	}
+}
+
+// forgo gives the slot on a cold endpoint back, unused.
+func (f *Flow) forgo(e Placed) []Action {
+	if !e.Cold {
+		return nil
+	}
+	return []Action{Forgo{Attempt: f.newPlace(false).Attempt, Endpoint: e.Endpoint}}
+}
+
+func (f *Flow) admitted() []Action {
+	if f.request.Service == "" {
+		f.stage = stagePlan
+		return []Action{Plan{}}
+	}
+	if f.request.Idempotent {
+		return f.guard()
+	}
+	f.stage = stageClaim
+	return []Action{Claim{}}
+}
+
+// bind starts the present rung afresh.
+func (f *Flow) bind() []Action {
+	f.stage = stageBind
+	f.assembler = retry.NewAssembler(f.request.Key.Request, window)
+	f.tried, f.exclude, f.held = 0, nil, nil
+	f.empty, f.usage, f.finish = true, engine.Usage{}, ""
+	return []Action{Bind{Model: f.rungs[f.rung].Model}}
+}
+
+// granted goes on with a claimed request, or answers a repeat of it.
+func (f *Flow) granted(result shard.Result) []Action {
+	switch r := result.(type) {
+	case shard.Granted:
+		f.claimed = true
+		return f.guard()
+	case shard.Taken:
+		return f.repeat(r)
+	case shard.Unavailable:
+		return f.refuse(f.unclaimed(r.After))
+	default:
+		return f.refuse(f.unclaimed(comeBack))
+	}
+}
+
+// unclaimed refuses a request whose claim could not be had. Nothing was sent
+// for it, but an earlier request with its key may have run.
+func (f *Flow) unclaimed(after time.Duration) Refusal {
+	return Refusal{
+		Code:    CodePlatform,
+		Message: "the request was not sent, as its key cannot be claimed now; whether an earlier one with the key ran is not known",
+		Ran:     RanUnknown,
+		After:   max(after, comeBack),
+	}
+}
+
+// repeat answers from the record of an earlier request with the same key.
+func (f *Flow) repeat(taken shard.Taken) []Action {
+	if taken.By.Fingerprint != f.request.Fingerprint {
+		return f.refuse(Refusal{Code: CodeInvalid, Message: "the key was used for another body", Ran: RanUnknown})
+	}
+	if taken.Outcome == nil {
+		message := "an earlier request with the key is running or its outcome was lost"
+		return f.refuse(Refusal{Code: CodeOutcome, Message: message, Ran: RanUnknown, After: comeBack})
+	}
+	answer := engine.Answer{Status: taken.Outcome.Status, Type: jsonType, Body: taken.Outcome.Body}
+	return f.reply(Result{Meta: f.meta, Answer: answer, Repeat: true})
+}
+
+// guard asks about a body that endpoints may have died under, and else goes on.
+func (f *Flow) guard() []Action {
+	if !f.died && f.suspicion == fleet.SuspicionNone {
+		return f.place()
+	}
+	f.stage = stageGuard
+	ask := Guard{Died: f.died, Endpoint: f.last}
+	f.died = false
+	return []Action{ask}
+}
+
+func (f *Flow) guarded(now time.Time, g Guarded) []Action {
+	switch {
+	case f.stage != stageGuard:
+		return nil
+	case g.Refused:
+		message := "endpoints have crashed while they ran this body; it will not be run again"
+		return f.refuse(Refusal{Code: CodeCrashes, Message: message, Ran: f.ran})
+	case g.Allowed:
+		f.suspicion = fleet.SuspicionNone
+		f.alone = g.Alone
+		return f.place()
+	case now.Add(g.After).Before(f.request.Deadline):
+		return []Action{Wake{Timer: TimerGuard, After: g.After}}
+	default:
+		message := "the body is suspected of crashing endpoints and waits to run alone"
+		return f.refuse(Refusal{Code: CodeOverloaded, Message: message, Ran: f.ran, After: g.After})
+	}
+}
+
+func (f *Flow) place() []Action {
+	f.stage = stagePlace
+	return []Action{f.newPlace(false)}
+}
+
+func (f *Flow) newPlace(hedge bool) Place {
+	return Place{
+		Attempt: ident.AttemptID(f.prefix + strconv.Itoa(f.made)),
+		Release: f.meta.Release,
+		Exclude: f.exclude,
+		Alone:   f.alone,
+		Hedge:   hedge,
+	}
+}
+
+// full waits for room, unless another model has some or time is too short.
+func (f *Flow) full(now time.Time, e Full) []Action {
+	if f.hedging && f.stage == stageRun {
+		f.hedging = false
+		return nil
+	}
+	f.hedging = false
+	if actions, ok := f.next(true); ok {
+		return actions
+	}
+	if now.Add(e.After).Before(f.request.Deadline) {
+		return []Action{Wake{Timer: TimerPlace, After: e.After}}
+	}
+	message := "every endpoint is busy until after the deadline"
+	return f.refuse(Refusal{Code: CodeOverloaded, Message: message, Ran: f.ran, After: max(e.After, comeBack)})
+}
+
+func (f *Flow) barren(e Barren) []Action {
+	if f.hedging && f.stage == stageRun {
+		f.hedging = false
+		return nil
+	}
+	f.hedging = false
+	if actions, ok := f.next(true); ok {
+		return actions
+	}
+	if e.Withdrawn {
+		message := "version " + f.meta.Release.String() + " was withdrawn"
+		return f.refuse(Refusal{Code: CodeWithdrawn, Message: message, Ran: f.ran, After: e.After})
+	}
+	message := "no endpoint can take the request now"
+	return f.refuse(Refusal{Code: CodeCapacity, Message: message, Ran: f.ran, After: max(e.After, comeBack)})
+}
+
+// next goes on to another model, if there is one and no piece of an answer was
+// passed on; fallbacks only count when capacity is what lacks.
+func (f *Flow) next(capacity bool) ([]Action, bool) {
+	if f.open || f.request.Service != "" {
+		return nil, false
+	}
+	for i := f.rung + 1; i < len(f.rungs); i++ {
+		if f.rungs[i].Fallback && !capacity {
+			continue
+		}
+		f.rung = i
+		return f.bind(), true
+	}
+	return nil, false
+}
+
+func (f *Flow) woken(now time.Time, t Timer) []Action {
+	switch {
+	case t == TimerPlace && f.stage == stagePlace:
+		return f.place()
+	case t == TimerGuard && f.stage == stageGuard:
+		return []Action{Guard{Endpoint: f.last}}
+	case t == TimerHedge && f.stage == stageRun:
+		return f.hedge(now)
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/serve/act.go
@@ -0,0 +1,155 @@
+package serve
+
+import (
+	"context"
+	"time"
+
+	"github.com/marigoldscale/marigoldscale/internal/casc"
+	"github.com/marigoldscale/marigoldscale/internal/ctrl"
+	"github.com/marigoldscale/marigoldscale/internal/engine"
+	"github.com/marigoldscale/marigoldscale/internal/flow"
+	"github.com/marigoldscale/marigoldscale/internal/metric"
+	"github.com/marigoldscale/marigoldscale/internal/roll"
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+// do carries out one action and gives the events that answer it at once.
+func (r *run) do(ctx context.Context, a flow.Action) []flow.Event {
+	switch a := a.(type) {
+	case flow.Ask:
+		return r.admit()
+	case flow.Plan:
+		return r.plan()
+	case flow.Bind:
+		r.bind(ctx, a.Model)
+	case flow.Claim:
+		r.claim(ctx)
+	case flow.Unclaim:
+		r.unclaim(ctx)
+	case flow.Guard:
+		r.guard(ctx, a)
+	case flow.Place:
+		return r.place(ctx, a)
+	case flow.Forgo:
+		r.forgo(a)
+	case flow.Dispatch:
+		r.dispatch(ctx, a)
+	case flow.Cancel:
+		r.cancel(a.Attempt)
+	case flow.Open:
+		return r.pass(func() error { return r.sink.Open(a.Meta) })
+	case flow.Text:
+		return r.pass(func() error { return r.sink.Text(a.Text) })
+	case flow.Rate:
+		r.rate(ctx, a)
+	case flow.Report:
+		r.report(ctx, a)
+	case flow.Settle:
+		r.settle(ctx, a)
+	case flow.Wake:
+		time.AfterFunc(a.After, func() { r.post(flow.Woken{Timer: a.Timer}) })
+	case flow.Reply:
+		r.result <- a.Result
+	}
+	return nil
+}
+
+// pass hands a piece to the caller, unless the caller is gone.
+func (r *run) pass(write func() error) []flow.Event {
+	select {
+	case <-r.gone:
+		return nil
+	default:
+	}
+	if r.broken {
+		return nil
+	}
+	if err := write(); err != nil {
+		r.broken = true
+		return []flow.Event{flow.Left{}}
+	}
+	return nil
+}
+
+// price gives what an answer costs the team.
+func (r *run) price(release ident.Release, usage engine.Usage) ident.Micros {
+	if r.request.Service != "" {
+		if service, ok := r.view.Config.Services[r.request.Service]; ok {
+			return service.Price
+		}
+		return 0
+	}
+	model, ok := r.view.Config.Models[release.Model]
+	if !ok {
+		return 0
+	}
+	const tokensPerPrice = 1000
+	tokens := ident.Micros(usage.Prompt + usage.Answer)
+	return (tokens*model.Price + tokensPerPrice - 1) / tokensPerPrice
+}
+
+// rate has a held answer rated, and judges it.
+func (r *run) rate(ctx context.Context, a flow.Rate) {
+	release := r.release()
+	index := a.Rung.Index
+	ladder := r.ladder
+	now := r.server.Now()
+	patience := now.Add(ladder.Rungs[index].Patience)
+	if patience.After(r.request.Deadline) {
+		patience = r.request.Deadline
+	}
+	r.ask(func() flow.Event {
+		ctx, span := r.server.Tracer.Start(ctx, "rater")
+		defer span.End()
+		ctx, cancel := context.WithDeadline(ctx, patience)
+		defer cancel()
+		rating := r.server.rateAnswer(ctx, r.request, release, a.Answer)
+		verdict := casc.Judge(r.server.Now(), ladder, index, rating, r.request.Deadline)
+		_, escalate := verdict.(casc.Escalate)
+		r.server.Metrics.Count("cascade_verdicts_total", 1, metric.Label{Name: "accepted", Value: boolName(!escalate)})
+		return flow.Judged{Accept: !escalate}
+	})
+}
+
+// report tells the control thread of an answer that was passed on or was
+// empty, and has a sample of them rated.
+func (r *run) report(ctx context.Context, a flow.Report) {
+	if a.Answer == "" {
+		r.server.Tell(ctrl.Attempted{
+			Release: a.Release,
+			Team:    r.request.Key.Team,
+			Outcome: roll.Outcome{Empty: true},
+			Counts:  true,
+		})
+		return
+	}
+	if !a.Rate || r.server.Rater == nil || !r.sampled(a.Release) {
+		return
+	}
+	request := r.request
+	ctx = context.WithoutCancel(ctx)
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, backgroundRating)
+		defer cancel()
+		r.server.rateAnswer(ctx, request, a.Release, a.Answer)
+	}()
+}
+
+// sampled tells whether a finished answer is to be rated: those that the
+// ladder wants, and all of a model under roll-out.
+func (r *run) sampled(release ident.Release) bool {
+	_, rolling := r.view.Config.Rollouts[release.Model]
+	return rolling || r.ladder.Sample
+}
+
+// release gives the release of the present rung.
+func (r *run) release() ident.Release {
+	return r.bound
+}
+
+func boolName(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no"
+}
--- /dev/null
+++ b/internal/serve/rate.go
@@ -0,0 +1,89 @@
+package serve
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/marigoldscale/marigoldscale/internal/casc"
+	"github.com/marigoldscale/marigoldscale/internal/ctrl"
+	"github.com/marigoldscale/marigoldscale/internal/flow"
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+const (
+	// backgroundRating bounds a rating that no caller waits for.
+	backgroundRating = 10 * time.Second
+	// raterPause is how long the rater counts as down after a failure.
+	raterPause = 2 * time.Second
+)
+
+// rateAnswer asks the rater and tells the control thread what it said.
+func (s *Server) rateAnswer(ctx context.Context, request flow.Request, release ident.Release, answer string) casc.Rating {
+	if s.Rater == nil {
+		return casc.Unrated{}
+	}
+	quality, err := s.Rater.Rate(ctx, Answer{
+		Request: request.Key.Request,
+		Team:    request.Key.Team,
+		Class:   request.Class,
+		Release: release.String(),
+		Prompt:  request.Prompt,
+		Answer:  answer,
+	})
+	if err != nil {
+		s.raterDown.Store(s.Now().Add(raterPause).UnixNano())
+		s.Metrics.Count("rater_failures_total", 1)
+		return casc.Unrated{}
+	}
+	s.Tell(ctrl.Rated{Release: release, Team: request.Key.Team, Class: request.Class, Quality: quality})
+	return casc.Rated{Quality: quality}
+}
+
+func (s *Server) raterUp(now time.Time) bool {
+	return s.Rater != nil && now.UnixNano() >= s.raterDown.Load()
+}
+
+// HTTPRater asks a rating service over HTTP.
+type HTTPRater struct {
+	base   string
+	client *http.Client
+}
+
+// NewHTTPRater makes a rater from the service's URL.
+func NewHTTPRater(base string, client *http.Client) *HTTPRater {
+	return &HTTPRater{base: base, client: client}
+}
+
+// Rate implements Rater.
+func (h *HTTPRater) Rate(ctx context.Context, answer Answer) (ident.Quality, error) {
+	body, err := json.Marshal(answer)
+	if err != nil {
+		return 0, fmt.Errorf("encoding answer to rate: %w", err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, h.base+"/rate", bytes.NewReader(body))
+	if err != nil {
+		return 0, fmt.Errorf("building rating request: %w", err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	res, err := h.client.Do(req)
+	if err != nil {
+		return 0, fmt.Errorf("asking rater: %w", err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return 0, errors.Errorf("rater answered with status %d", res.StatusCode)
+	}
+	var rated struct {
+		Quality ident.Quality `json:"quality"`
+	}
+	if err := json.NewDecoder(res.Body).Decode(&rated); err != nil {
+		return 0, fmt.Errorf("decoding rating: %w", err)
+	}
+	return rated.Quality, nil
+}
