Declare the decisions on endpoints, admission, retries, permits, orders and crashes

Cause: the router is built against these packages at once, so their types and signatures come first, with simple behaviour behind them. Ruled out: one package for all of them; their state belongs to different owners (traffic threads: route, retry, permit.Holder; control thread: permit.Steward, fence, poison). Nothing is proved by this commit.

--- /dev/null
+++ b/internal/permit/phase.go
@@ -0,0 +1,173 @@
+package permit
+
+import (
+	"time"
+
+	"github.com/marigoldscale/marigoldscale/internal/fleet"
+)
+
+const (
+	silenceCold = 2 * time.Second        // without a report an endpoint is taken for cold
+	silenceDown = 6 * time.Second        // and for down
+	downAfter   = 3                      // failures to connect in a row
+	slowAnswers = 3                      // late first tokens in a row
+	slowRatio   = 4.0                    // late is more than this multiple of the expected time
+	slowFloor   = 500 * time.Millisecond // and more than this
+	firstDoubt  = 1 * time.Second        // report of warmth is doubted for as long after a mark
+	longestWait = 30 * time.Second       // as marks follow each other
+)
+
+// Sign is something from which an endpoint's phase is told: Reported, Answered,
+// Broke, Marked or Passed.
+type Sign interface{ sign() }
+
+// Reported is a report of the endpoint, which this router asked for at Asked.
+type Reported struct {
+	Asked  time.Time
+	Report fleet.Report
+}
+
+// Answered is the time to a first token and the time that was expected.
+type Answered struct{ Latency, Expected time.Duration }
+
+// Broke is a connection that failed or broke. Ran tells whether a run was cut.
+type Broke struct{ Ran bool }
+
+// Marked is another router's word that it took the endpoint for cold, for
+// other reasons than the endpoint's own report.
+type Marked struct {
+	Boot string
+	Age  time.Duration // since the mark, when it was sent
+}
+
+// Passed is the passing of time.
+type Passed struct{}
+
+func (Reported) sign() {}
+func (Answered) sign() {}
+func (Broke) sign()    {}
+func (Marked) sign()   {}
+func (Passed) sign()   {}
+
+// Phase tells an endpoint's phase from what this router sees of it. It is owned
+// by the control thread. The zero value is an endpoint never seen, which is
+// cold.
+type Phase struct {
+	phase    fleet.Phase
+	boot     string
+	reported time.Time // when the newest report was received
+	marked   time.Time // when it was last taken for cold against its own word
+	doubt    time.Duration
+	failures int
+	slow     int
+}
+
+// Step takes in a sign and gives the phase.
+func (p *Phase) Step(now time.Time, sign Sign) fleet.Phase {
+	switch s := sign.(type) {
+	case Reported:
+		p.report(now, s)
+	case Answered:
+		p.answer(now, s)
+	case Broke:
+		p.fail(now, s)
+	case Marked:
+		p.heed(now, s)
+	case Passed:
+		p.pass(now)
+	}
+	return p.phase
+}
+
+// Phase gives the phase as of the last sign.
+func (p *Phase) Phase() fleet.Phase { return p.phase }
+
+// Mark gives the mark to tell other routers, if the endpoint was taken for
+// cold within the last moments that they may not know of.
+func (p *Phase) Mark(now time.Time) (Marked, bool) {
+	if p.marked.IsZero() || now.Sub(p.marked) > longestWait {
+		return Marked{}, false
+	}
+	return Marked{Boot: p.boot, Age: now.Sub(p.marked)}, true
+}
+
+func (p *Phase) report(now time.Time, s Reported) {
+	rebooted := p.boot != "" && s.Report.Boot != p.boot
+	p.boot = s.Report.Boot
+	p.reported = now
+	p.failures = 0
+	if rebooted {
+		p.marked, p.doubt = now, firstDoubt
+	}
+	switch {
+	case !s.Report.Warm:
+		p.phase = fleet.PhaseCold
+	case p.marked.IsZero() || s.Asked.After(p.marked.Add(p.doubt)):
+		p.phase = fleet.PhaseWarm
+	case p.phase == fleet.PhaseDown:
+		p.phase = fleet.PhaseCold
+	}
+}
+
+func (p *Phase) answer(now time.Time, s Answered) {
+	p.failures = 0
+	late := float64(s.Latency) > slowRatio*float64(s.Expected) && s.Latency > slowFloor
+	if !late {
+		p.slow = 0
+		return
+	}
+	if p.slow++; p.slow >= slowAnswers {
+		p.slow = 0
+		p.mark(now)
+	}
+}
+
+func (p *Phase) fail(now time.Time, s Broke) {
+	p.failures++
+	if s.Ran || p.failures == 1 {
+		p.mark(now)
+	}
+	if p.failures >= downAfter {
+		p.phase = fleet.PhaseDown
+	}
+}
+
+// heed takes over another router's mark, unless it is of an earlier boot.
+func (p *Phase) heed(now time.Time, s Marked) {
+	if s.Boot != p.boot {
+		return
+	}
+	at := now.Add(-s.Age)
+	if !at.After(p.marked) {
+		return
+	}
+	p.marked = at
+	p.doubt = max(p.doubt, firstDoubt)
+	if p.phase == fleet.PhaseWarm {
+		p.phase = fleet.PhaseCold
+	}
+}
+
+func (p *Phase) pass(now time.Time) {
+	quiet := now.Sub(p.reported)
+	switch {
+	case p.reported.IsZero():
+	case quiet > silenceDown:
+		p.phase = fleet.PhaseDown
+	case quiet > silenceCold && p.phase == fleet.PhaseWarm:
+		p.mark(now)
+	}
+}
+
+// mark takes the endpoint for cold against its word. Marks that follow each
+// other are held longer each time.
+func (p *Phase) mark(now time.Time) {
+	p.doubt = max(firstDoubt, min(2*p.doubt, longestWait))
+	if now.Sub(p.marked) > longestWait {
+		p.doubt = firstDoubt
+	}
+	p.marked = now
+	if p.phase == fleet.PhaseWarm {
+		p.phase = fleet.PhaseCold
+	}
+}
--- /dev/null
+++ b/internal/permit/steward.go
@@ -0,0 +1,222 @@
+package permit
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/marigoldscale/marigoldscale/internal/plat"
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+const shortPause = 100 * time.Millisecond // before a denied question is asked again
+
+// Steward is a router's part in the stewardship of one availability zone. Each
+// router has one; at most one of them grants at a time. It is owned by the
+// control thread.
+type Steward struct {
+	self     ident.RouterID
+	settings Settings
+	place    int
+
+	version plat.Version // of lease
+	lease   Lease
+	known   bool      // whether the object was ever read
+	seen    time.Time // when version was first seen here
+
+	writes map[string]write // unconfirmed, by nonce
+	count  int              // of writes, for nonces
+	last   time.Time        // when the last write was sent
+
+	until    time.Time // the own lease is certain before then
+	quiet    time.Time // no grants before then
+	stopping bool
+	slots    slots
+}
+
+type write struct {
+	lease Lease
+	sent  time.Time
+}
+
+// New gives the part of router self in a zone's stewardship.
+func New(self ident.RouterID, settings Settings) *Steward {
+	return &Steward{
+		self:     self,
+		settings: settings,
+		writes:   make(map[string]write),
+		slots:    slots{settings: settings, endpoints: make(map[ident.EndpointID]*endpoint)},
+	}
+}
+
+// Step takes in an event and gives the actions that follow from it.
+func (s *Steward) Step(now time.Time, event Event) []Action {
+	switch e := event.(type) {
+	case Read:
+		return s.read(now, e)
+	case Wrote:
+		return s.wrote(now, e)
+	case Asked:
+		return []Action{s.asked(now, e)}
+	case Released:
+		s.slots.release(e)
+		return s.tick(now)
+	case Seen:
+		s.slots.see(now, e)
+	case Rank:
+		s.place = e.Place
+	case Tick:
+		return s.tick(now)
+	case Stop:
+		s.stopping = true
+		return s.tick(now)
+	}
+	return nil
+}
+
+// Holds tells whether this router is certain to be the steward.
+func (s *Steward) Holds(now time.Time) bool {
+	return now.Before(s.until)
+}
+
+// Until gives the time before which the own lease is certain, as a bound for
+// orders that carry the term.
+func (s *Steward) Until() time.Time { return s.until }
+
+// Term gives the term of the newest lease seen.
+func (s *Steward) Term() ident.Term { return s.lease.Term }
+
+// Holder gives the router that the newest lease names, to which questions go.
+func (s *Steward) Holder() ident.RouterID { return s.lease.Holder }
+
+func (s *Steward) read(now time.Time, e Read) []Action {
+	if s.known && e.Version <= s.version {
+		return nil
+	}
+	s.adopt(now, e.Lease, e.Version)
+	return nil
+}
+
+func (s *Steward) wrote(now time.Time, e Wrote) []Action {
+	switch e.Result {
+	case ResultDone:
+		if w, ok := s.writes[e.Nonce]; ok && e.Version > s.version {
+			s.adopt(now, w.lease, e.Version)
+		}
+		return nil
+	case ResultFailed:
+		delete(s.writes, e.Nonce)
+		return nil
+	case ResultConflict:
+		delete(s.writes, e.Nonce)
+	case ResultUncertain:
+	}
+	return []Action{Reread{}}
+}
+
+// adopt takes over a newer version of the object. If it is an own write, the
+// lease is extended from when that write was sent.
+func (s *Steward) adopt(now time.Time, l Lease, v plat.Version) {
+	before := s.lease
+	s.lease, s.version, s.seen, s.known = l, v, now, true
+	w, own := s.writes[l.Nonce]
+	if !own || l.Holder != s.self {
+		s.lose()
+		return
+	}
+	if l.Term != before.Term {
+		s.begin(before, w.sent)
+	}
+	s.until = w.sent.Add(s.settings.Lease - s.settings.Margin)
+	clear(s.writes)
+}
+
+// begin starts a term: permits of the holder before may be in use until its
+// longest permit has lapsed.
+func (s *Steward) begin(before Lease, sent time.Time) {
+	s.quiet = sent
+	if !before.Clean && before.Term > 0 {
+		s.quiet = sent.Add(max(before.Hold, s.settings.Hold()) + s.settings.Margin)
+	}
+	s.slots.reset(s.quiet)
+}
+
+func (s *Steward) lose() {
+	s.until = time.Time{}
+	clear(s.writes)
+}
+
+func (s *Steward) tick(now time.Time) []Action {
+	s.slots.lapse(now)
+	if !s.known {
+		return []Action{Reread{}}
+	}
+	if s.lease.Holder == s.self {
+		return s.keep(now)
+	}
+	if s.stopping || now.Before(s.vacant()) || now.Before(s.last.Add(s.settings.Renew)) {
+		return nil
+	}
+	return []Action{s.write(now, Lease{Holder: s.self, Term: s.lease.Term + 1, Hold: s.settings.Hold()})}
+}
+
+// keep renews the own lease, or gives it up when stopping.
+func (s *Steward) keep(now time.Time) []Action {
+	if now.Before(s.last.Add(s.settings.Renew)) && !s.stopping {
+		return nil
+	}
+	l := s.lease
+	if s.stopping && s.slots.empty() && s.Holds(now) {
+		l.Holder, l.Clean = "", true
+		s.until = time.Time{}
+		return []Action{s.write(now, l)}
+	}
+	if now.Before(s.last.Add(s.settings.Renew)) {
+		return nil
+	}
+	if !s.Holds(now) {
+		l.Term++ // others may have waited it out; begin anew
+	}
+	return []Action{s.write(now, l)}
+}
+
+// vacant is when this router may take the lease: at once if it was given up,
+// else when its holder has let it lapse, later for each place behind the first.
+func (s *Steward) vacant() time.Time {
+	stagger := time.Duration(s.place) * s.settings.Renew
+	if s.lease.Clean || s.version == 0 {
+		return s.seen.Add(stagger)
+	}
+	return s.seen.Add(s.settings.Lease + stagger)
+}
+
+func (s *Steward) write(now time.Time, l Lease) Write {
+	s.count++
+	l.Nonce = fmt.Sprintf("%s.%d", s.self, s.count)
+	s.writes[l.Nonce] = write{lease: l, sent: now}
+	s.last = now
+	return Write{Lease: l, Expect: s.version}
+}
+
+func (s *Steward) asked(now time.Time, e Asked) Action {
+	deny := Deny{Router: e.Router, Attempt: e.Attempt, Endpoint: e.Endpoint, RetryAfter: shortPause}
+	switch {
+	case !s.Holds(now) || s.stopping:
+		deny.Reason = ReasonSteward
+		return deny
+	case now.Before(s.quiet):
+		deny.Reason, deny.RetryAfter = ReasonWait, s.quiet.Sub(now)
+		return deny
+	}
+	if reason := s.slots.take(now, e); reason != "" {
+		deny.Reason = reason
+		return deny
+	}
+	return Grant{Permit: Permit{
+		Endpoint: e.Endpoint,
+		Router:   e.Router,
+		Attempt:  e.Attempt,
+		Term:     s.lease.Term,
+		Start:    s.settings.Start,
+		Run:      s.settings.Run,
+	}}
+}
--- /dev/null
+++ b/internal/poison/place.go
@@ -0,0 +1,39 @@
+package poison
+
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-rendezvous"
+
+	"github.com/marigoldscale/marigoldscale/internal/fleet"
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+// Places finds the home of each body among the live routers, by rendezvous
+// hashing. It is immutable.
+type Places struct {
+	hash *rendezvous.Rendezvous
+}
+
+// NewPlaces gives the places for the routers that are live and not leaving.
+func NewPlaces(routers []fleet.Router) *Places {
+	names := make([]string, 0, len(routers))
+	for _, r := range routers {
+		if !r.Leaving {
+			names = append(names, string(r.ID))
+		}
+	}
+	if len(names) == 0 {
+		return &Places{}
+	}
+	return &Places{hash: rendezvous.New(names, xxhash.Sum64String)}
+}
+
+// Home gives the router that decides for a body, or "" if no router is live.
+func (p *Places) Home(body ident.Fingerprint) ident.RouterID {
+	if p.hash == nil {
+		return ""
+	}
+	return ident.RouterID(p.hash.Lookup(strconv.FormatUint(uint64(body), 16)))
+}
--- /dev/null
+++ b/internal/retry/retry.go
@@ -0,0 +1,178 @@
+// Package retry decides what follows a failed or slow attempt, keeps retries
+// and hedges within a share of the load, and assembles a caller's answer from
+// the frames of several attempts.
+package retry
+
+import (
+	"time"
+)
+
+const (
+	firstPause  = 20 * time.Millisecond // before the second attempt
+	longPause   = time.Second           // largest pause between attempts
+	maxAttempts = 4                     // attempts on one request, hedges included
+)
+
+// Outcome says how an attempt stands.
+type Outcome int
+
+// The outcomes.
+const (
+	OutcomeRunning    Outcome = iota // no first frame yet, or still streaming
+	OutcomeDone                      // the final frame was received
+	OutcomeNotSent                   // nothing left this router
+	OutcomeNotRun                    // the endpoint says that it ran nothing
+	OutcomeOverloaded                // the endpoint says so, and that it ran nothing
+	OutcomeRejected                  // the endpoint finds the request at fault
+	OutcomeBroken                    // the connection broke after something was sent
+)
+
+// Facts is what is known when Decide is asked.
+type Facts struct {
+	Outcome    Outcome
+	Idempotent bool
+	Attempts   int           // made so far, this one included
+	Open       int           // attempts still running, this one included if it is
+	Received   int           // frames in sequence from the start, received from attempts
+	Delivered  int           // frames handed to the caller
+	Started    time.Time     // of this attempt
+	Expected   time.Duration // time to the first token that only slow attempts exceed, 0 for no hedge
+	Deadline   time.Time
+	RetryAfter time.Duration // named by the endpoint, 0 if none
+	Seed       uint64        // random bits for the pause
+}
+
+// Action is what to do next: Retry, Hedge, Resume or Stop.
+type Action interface{ action() }
+
+// Retry means to run the request again from the start after a pause.
+type Retry struct{ After time.Duration }
+
+// Hedge means to start a second attempt beside the running one, if that one
+// has sent no frame by then.
+type Hedge struct{ After time.Duration }
+
+// Resume means to go on with the stream on another attempt.
+type Resume struct {
+	After time.Duration
+	From  int // frames received already
+}
+
+// Stop means that no further attempt follows.
+type Stop struct {
+	Reason Reason
+	Ran    Ran
+}
+
+func (Retry) action()  {}
+func (Hedge) action()  {}
+func (Resume) action() {}
+func (Stop) action()   {}
+
+// Reason says why no further attempt follows.
+type Reason string
+
+// The reasons.
+const (
+	ReasonDone     Reason = "done"
+	ReasonRunning  Reason = "running"  // wait for the attempts in flight
+	ReasonRejected Reason = "rejected" // the request itself is at fault
+	ReasonOnce     Reason = "once"     // it may have run and must not run again
+	ReasonDeadline Reason = "deadline" // too little time is left
+	ReasonBudget   Reason = "budget"   // retries have used up their share of the load
+	ReasonAttempts Reason = "attempts" // too many attempts were made
+)
+
+// Ran says whether an attempt ran, as told to the caller.
+type Ran string
+
+// The values of Ran.
+const (
+	RanNo      Ran = "no"
+	RanUnknown Ran = "unknown"
+	RanYes     Ran = "yes"
+)
+
+// Decide gives what follows an attempt. It takes from the budget for each
+// retry, hedge or resumption that it allows.
+func Decide(now time.Time, f Facts, b *Budget) Action {
+	ran := ran(f)
+	switch f.Outcome {
+	case OutcomeDone:
+		return Stop{Reason: ReasonDone, Ran: ran}
+	case OutcomeRejected:
+		return Stop{Reason: ReasonRejected, Ran: ran}
+	case OutcomeRunning:
+		return hedge(now, f, b)
+	case OutcomeNotSent, OutcomeNotRun, OutcomeOverloaded, OutcomeBroken:
+	}
+	if !f.Idempotent && ran != RanNo {
+		return Stop{Reason: ReasonOnce, Ran: ran}
+	}
+	if f.Open > 0 {
+		return Stop{Reason: ReasonRunning, Ran: ran}
+	}
+	return again(now, f, b, ran)
+}
+
+func again(now time.Time, f Facts, b *Budget, ran Ran) Action {
+	if f.Attempts >= maxAttempts {
+		return Stop{Reason: ReasonAttempts, Ran: ran}
+	}
+	after := pause(f)
+	if !now.Add(after).Add(f.Expected).Before(f.Deadline) {
+		return Stop{Reason: ReasonDeadline, Ran: ran}
+	}
+	if !b.Take(now) {
+		return Stop{Reason: ReasonBudget, Ran: ran}
+	}
+	if f.Received > 0 {
+		return Resume{After: after, From: f.Received}
+	}
+	return Retry{After: after}
+}
+
+// hedge allows one attempt beside a running one, once that one is late.
+func hedge(now time.Time, f Facts, b *Budget) Action {
+	wait := Stop{Reason: ReasonRunning, Ran: ran(f)}
+	if !f.Idempotent || f.Expected <= 0 || f.Received > 0 || f.Open > 1 || f.Attempts >= maxAttempts {
+		return wait
+	}
+	late := f.Started.Add(f.Expected)
+	if !late.Add(f.Expected).Before(f.Deadline) {
+		return wait
+	}
+	if now.Before(late) {
+		return Hedge{After: late.Sub(now)}
+	}
+	if !b.Take(now) {
+		return wait
+	}
+	return Hedge{}
+}
+
+func ran(f Facts) Ran {
+	switch f.Outcome {
+	case OutcomeNotSent, OutcomeNotRun, OutcomeOverloaded, OutcomeRejected:
+		return RanNo
+	case OutcomeDone:
+		return RanYes
+	case OutcomeRunning, OutcomeBroken:
+	}
+	if f.Received > 0 {
+		return RanYes
+	}
+	return RanUnknown
+}
+
+// pause doubles with each attempt and is spread over its upper half; an
+// endpoint's own word may lengthen it.
+func pause(f Facts) time.Duration {
+	if f.Received > 0 {
+		return 0
+	}
+	d := firstPause << max(0, f.Attempts-1)
+	d = min(d, longPause)
+	d = d/2 + time.Duration(f.Seed%uint64(d/2+1))
+	return max(d, f.RetryAfter)
+}
--- /dev/null
+++ b/internal/route/choose.go
@@ -0,0 +1,159 @@
+// Package route chooses the endpoint on which a request should run: the one
+// with the least expected time to the first token among those allowed, chosen
+// so that routers with the same stale reports do not all pick the same one.
+package route
+
+import (
+	"time"
+
+	"github.com/marigoldscale/marigoldscale/internal/fleet"
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+const (
+	fewest     = 4                     // endpoints among which two are drawn
+	nearScore  = 1.5                   // scores up to this multiple of the best are as good
+	nearMargin = 10 * time.Millisecond // and up to this much more
+	fullPause  = 250 * time.Millisecond
+)
+
+type candidate struct {
+	endpoint *fleet.Endpoint
+	score    time.Duration
+	expected time.Duration
+	cold     bool
+}
+
+// Choose gives the endpoint for a request. It reads only the snapshot and this
+// router's own tables; the same inputs give the same choice.
+func Choose(now time.Time, s *fleet.Snapshot, r Request, t *Table, p *Prefixes) Choice {
+	var best [fewest]candidate
+	n, full := 0, false
+	if allowed(s, r) {
+		for _, e := range t.lookup(s).endpoints(r) {
+			c, reason := judge(now, s, r, t, p, e)
+			if reason != ReasonFit && reason != ReasonCold {
+				full = full || reason.Temporary()
+				continue
+			}
+			n = insert(&best, n, c)
+		}
+	}
+	if n > 0 {
+		return pick(best[:n], r.Seed).choice()
+	}
+	if full {
+		return Wait{RetryAfter: fullPause}
+	}
+	return None{Reasons: Explain(now, s, r, t, p)}
+}
+
+// Explain says for each endpoint of the request's release or service whether
+// it suits the request and why not, sorted by endpoint id.
+func Explain(now time.Time, s *fleet.Snapshot, r Request, t *Table, p *Prefixes) []Verdict {
+	endpoints := t.lookup(s).endpoints(r)
+	verdicts := make([]Verdict, 0, len(endpoints))
+	for _, e := range endpoints {
+		c, reason := judge(now, s, r, t, p, e)
+		if !allowed(s, r) {
+			reason = ReasonVersion
+		}
+		v := Verdict{Endpoint: e.Spec.ID, Zone: e.Spec.Zone, Reason: reason}
+		if reason == ReasonFit || reason == ReasonCold {
+			v.Score = c.score
+		}
+		verdicts = append(verdicts, v)
+	}
+	return verdicts
+}
+
+func allowed(s *fleet.Snapshot, r Request) bool {
+	if r.Service != "" {
+		_, ok := s.Config.Services[r.Service]
+		return ok
+	}
+	return s.Allowed(r.Release)
+}
+
+// judge gives an endpoint's score, or the reason why it does not suit.
+func judge(now time.Time, s *fleet.Snapshot, r Request, t *Table, p *Prefixes, e *fleet.Endpoint) (candidate, Reason) {
+	if reason := unfit(s, r, e); reason != ReasonFit {
+		return candidate{}, reason
+	}
+	l := t.Load(now, e.Spec.ID)
+	q := depth(now, s, e, l)
+	if r.Alone && (l.Running > 0 || q >= 1) {
+		return candidate{}, ReasonBusy
+	}
+	cold := e.Phase == fleet.PhaseCold
+	if l.Backoff > 0 || !cold && saturated(s, e, l, q) {
+		return candidate{}, ReasonFull
+	}
+	c := candidate{endpoint: e, cold: cold}
+	c.expected = expect(s, r, p, e, q)
+	c.score = time.Duration(float64(c.expected) * l.Factor)
+	if cold {
+		c.score += coldPenalty
+		return c, ReasonCold
+	}
+	return c, ReasonFit
+}
+
+func unfit(s *fleet.Snapshot, r Request, e *fleet.Endpoint) Reason {
+	switch {
+	case s.ZoneOut(e.Spec.Zone):
+		return ReasonZone
+	case e.Leaving:
+		return ReasonLeaving
+	case e.Phase == fleet.PhaseDown:
+		return ReasonDown
+	case e.Spec.Release != r.Release || e.Spec.Service != r.Service:
+		return ReasonRelease
+	case excluded(r.Exclude, e.Spec.ID):
+		return ReasonExcluded
+	}
+	return ReasonFit
+}
+
+func excluded(list []ident.EndpointID, id ident.EndpointID) bool {
+	for _, x := range list {
+		if x == id {
+			return true
+		}
+	}
+	return false
+}
+
+// insert keeps the best candidates sorted by score.
+func insert(best *[fewest]candidate, n int, c candidate) int {
+	i := n
+	for i > 0 && c.score < best[i-1].score {
+		i--
+	}
+	if i == fewest {
+		return n
+	}
+	n = min(n+1, fewest)
+	copy(best[i+1:n], best[i:n-1])
+	best[i] = c
+	return n
+}
+
+// pick draws two of the candidates that are nearly as good as the best one, and
+// takes the better of the two.
+func pick(best []candidate, seed uint64) candidate {
+	near := time.Duration(float64(best[0].score)*nearScore) + nearMargin
+	n := uint64(1)
+	for n < uint64(len(best)) && best[n].score <= near {
+		n++
+	}
+	a, b := (seed&0xffffffff)%n, (seed>>32)%n
+	return best[min(a, b)]
+}
+
+func (c candidate) choice() Choice {
+	if c.cold {
+		return NeedPermit{Endpoint: c.endpoint, Score: c.score, Expected: c.expected}
+	}
+	return Send{Endpoint: c.endpoint, Score: c.score, Expected: c.expected}
+}
--- /dev/null
+++ b/internal/route/load.go
@@ -0,0 +1,104 @@
+package route
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+const (
+	factorGain    = 0.2              // weight of a new observation in the correction factor
+	factorFloor   = 0.25             // smallest correction factor
+	factorCeiling = 16.0             // largest correction factor
+	factorHalf    = 10 * time.Second // half-life of a correction without new observations
+	limitFloor    = 1.0              // attempts that may always be in flight
+	limitCut      = 0.85             // multiplicative decrease
+	limitPause    = 200 * time.Millisecond
+	slowFactor    = 2.0 // a first token later than this multiple of the expected one cuts the limit
+	refusalPause  = 100 * time.Millisecond
+)
+
+// load is one endpoint's entry in a Table.
+type load struct {
+	lock     sync.Mutex
+	running  int
+	limit    float64 // 0 until the first sign of congestion
+	factor   float64
+	observed time.Time // of factor
+	cut      time.Time // last decrease of limit
+	backoff  time.Time
+}
+
+func newLoad() *load {
+	return &load{factor: 1}
+}
+
+func (l *load) start(time.Time) {
+	l.running++
+}
+
+func (l *load) first(now time.Time, expected, latency time.Duration) {
+	if expected <= 0 {
+		return
+	}
+	ratio := clamp(float64(latency)/float64(expected), factorFloor, factorCeiling)
+	l.factor = l.correction(now)*(1-factorGain) + ratio*factorGain
+	l.observed = now
+	if ratio > slowFactor*l.factor {
+		l.decrease(now)
+		return
+	}
+	l.increase()
+}
+
+func (l *load) end(now time.Time, outcome Outcome) {
+	if l.running > 0 {
+		l.running--
+	}
+	switch outcome {
+	case OutcomeOverloaded:
+		l.decrease(now)
+		l.backoff = now.Add(refusalPause)
+	case OutcomeFailed:
+		l.factor = math.Min(l.correction(now)*slowFactor, factorCeiling)
+		l.observed = now
+		l.decrease(now)
+	case OutcomeDone, OutcomeCancelled:
+	}
+}
+
+// decrease cuts the limit, at most once in a pause so that one burst of late
+// answers counts once.
+func (l *load) decrease(now time.Time) {
+	if now.Sub(l.cut) < limitPause {
+		return
+	}
+	l.cut = now
+	from := l.limit
+	if from == 0 {
+		from = float64(l.running + 1)
+	}
+	l.limit = math.Max(limitFloor, from*limitCut)
+}
+
+// increase raises a limit that is in use by one for each limit's worth of
+// first tokens in time.
+func (l *load) increase() {
+	if l.limit > 0 && float64(l.running) >= l.limit/2 {
+		l.limit += 1 / l.limit
+	}
+}
+
+// correction is the factor, decayed towards 1 with the time since it was last
+// observed, so that an endpoint that was slow is tried again.
+func (l *load) correction(now time.Time) float64 {
+	age := now.Sub(l.observed)
+	if l.factor == 1 || age <= 0 {
+		return l.factor
+	}
+	return 1 + (l.factor-1)*math.Exp2(-age.Seconds()/factorHalf.Seconds())
+}
+
+func clamp(x, low, high float64) float64 {
+	return math.Min(math.Max(x, low), high)
+}
--- /dev/null
+++ b/internal/route/prefix.go
@@ -0,0 +1,157 @@
+package route
+
+import (
+	"fmt"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+	lru "github.com/hashicorp/golang-lru/v2"
+
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+const (
+	// BlockBytes is the length of prompt text that one block stands for.
+	BlockBytes = 256
+	// BlockTokens is the number of tokens that a cached block saves.
+	BlockTokens ident.Tokens = BlockBytes / bytesPerToken
+
+	bytesPerToken = 4
+	maxBlocks     = 512 // of one prompt
+)
+
+// Blocks hashes a prompt's prefix: each block's hash covers all the text up to
+// its end, so equal hashes mean equal prefixes.
+func Blocks(prompt []byte) []uint64 {
+	n := min(len(prompt)/BlockBytes, maxBlocks)
+	blocks := make([]uint64, n)
+	h := xxhash.New()
+	for i := range blocks {
+		_, _ = h.Write(prompt[i*BlockBytes : (i+1)*BlockBytes]) // never fails
+		blocks[i] = h.Sum64()
+	}
+	return blocks
+}
+
+// CacheEvent says that an endpoint stored or dropped a block.
+type CacheEvent struct {
+	Sequence uint64
+	Block    uint64
+	Stored   bool
+}
+
+// Prefixes is an approximate index of the prompt prefixes that endpoints have
+// cached. Late or missing events make it wrong for a while, which costs time
+// and never correctness. It is bounded, and safe for use by many goroutines.
+type Prefixes struct {
+	lock    sync.Mutex
+	size    int // blocks kept for each endpoint
+	caches  map[ident.EndpointID]*cache
+	boots   map[ident.EndpointID]string
+	applied map[ident.EndpointID]uint64
+}
+
+type cache = lru.Cache[uint64, struct{}]
+
+// NewPrefixes gives an empty index that keeps up to size blocks for each
+// endpoint. It fails if size is not positive.
+func NewPrefixes(size int) (*Prefixes, error) {
+	if size <= 0 {
+		return nil, fmt.Errorf("prefix index size %d is not positive", size)
+	}
+	return &Prefixes{
+		size:    size,
+		caches:  make(map[ident.EndpointID]*cache),
+		boots:   make(map[ident.EndpointID]string),
+		applied: make(map[ident.EndpointID]uint64),
+	}, nil
+}
+
+// Sent records that a prompt was sent, so that the endpoint will have its
+// blocks cached before any event says so.
+func (p *Prefixes) Sent(endpoint ident.EndpointID, blocks []uint64) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	c := p.cache(endpoint)
+	for i := len(blocks) - 1; i >= 0; i-- {
+		c.Add(blocks[i], struct{}{})
+	}
+}
+
+// Apply takes in an endpoint's cache events. Events may come late, doubled and
+// with gaps; one older than what was applied is skipped.
+func (p *Prefixes) Apply(endpoint ident.EndpointID, events []CacheEvent) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	c := p.cache(endpoint)
+	for _, e := range events {
+		if e.Sequence <= p.applied[endpoint] {
+			continue
+		}
+		p.applied[endpoint] = e.Sequence
+		if e.Stored {
+			c.Add(e.Block, struct{}{})
+			continue
+		}
+		c.Remove(e.Block)
+	}
+}
+
+// Booted forgets an endpoint's blocks if its boot differs from the last one.
+func (p *Prefixes) Booted(endpoint ident.EndpointID, boot string) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	if p.boots[endpoint] == boot {
+		return
+	}
+	p.boots[endpoint] = boot
+	delete(p.caches, endpoint)
+	delete(p.applied, endpoint)
+}
+
+// Retain forgets all endpoints for which keep is false.
+func (p *Prefixes) Retain(keep func(ident.EndpointID) bool) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	for id := range p.caches {
+		if !keep(id) {
+			delete(p.caches, id)
+			delete(p.applied, id)
+			delete(p.boots, id)
+		}
+	}
+}
+
+// Cached gives the number of leading blocks that the endpoint has cached. A
+// gap of one block is taken for a lost event.
+func (p *Prefixes) Cached(endpoint ident.EndpointID, blocks []uint64) int {
+	if len(blocks) == 0 {
+		return 0
+	}
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	c := p.caches[endpoint]
+	if c == nil {
+		return 0
+	}
+	n, missing := 0, 0
+	for i, b := range blocks {
+		if c.Contains(b) {
+			n, missing = i+1, 0
+			continue
+		}
+		if missing++; missing > 1 {
+			break
+		}
+	}
+	return n
+}
+
+func (p *Prefixes) cache(endpoint ident.EndpointID) *cache {
+	c := p.caches[endpoint]
+	if c == nil {
+		c, _ = lru.New[uint64, struct{}](p.size) // fails only if size is not positive
+		p.caches[endpoint] = c
+	}
+	return c
+}
