Compile the operators' files into one checked configuration

Each table kind declares its keys once; references and contradictions are checked over all files, and every problem is reported with file, line and what is accepted. Overlay tables let commands act without editing operators' files.

--- /dev/null
+++ b/internal/config/build.go
@@ -0,0 +1,136 @@
+package config
+
+import (
+	"fmt"
+
+	"github.com/marigoldscale/marigoldscale/internal/fleet"
+	"github.com/marigoldscale/marigoldscale/internal/input"
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+// builder makes a configuration of the tables, and then checks it as a whole.
+type builder struct {
+	*tables
+	config *fleet.Config
+	paths  map[string]bool
+}
+
+func newBuilder() *builder {
+	return &builder{tables: newTables(), config: emptyConfig(), paths: map[string]bool{}}
+}
+
+func (b *builder) read(f File) {
+	if b.paths[f.Path] {
+		b.problems = append(b.problems, Problem{File: f.Path, What: "file is given twice", Accepted: "each path once"})
+		return
+	}
+	b.paths[f.Path] = true
+	d, problems := input.Parse(f)
+	b.problems = append(b.problems, problems...)
+	if d != nil {
+		b.add(d)
+	}
+}
+
+func (b *builder) build() {
+	b.buildZones()
+	b.buildModels()
+	b.buildServices()
+	b.buildRollouts()
+	b.buildTeams()
+	b.buildEndpoints()
+	b.overlay()
+	b.check()
+}
+
+func (b *builder) buildZones() {
+	for _, o := range b.sorted(kindZone) {
+		z := &fleet.Zone{ID: ident.ZoneID(o.name)}
+		read(b.tables, o, zoneFields(), z)
+		b.config.Zones[z.ID] = z
+	}
+}
+
+func (b *builder) buildModels() {
+	for _, o := range b.sorted(kindModel) {
+		m := &fleet.Model{ID: ident.ModelID(o.name)}
+		read(b.tables, o, modelFields(), m)
+		b.config.Models[m.ID] = m
+	}
+}
+
+func (b *builder) buildServices() {
+	for _, o := range b.sorted(kindService) {
+		s := &fleet.Service{ID: ident.ServiceID(o.name), Deadline: defaultDeadline}
+		read(b.tables, o, serviceFields(), s)
+		b.config.Services[s.ID] = s
+	}
+}
+
+func (b *builder) buildRollouts() {
+	for _, o := range b.sorted(kindRollout) {
+		r := &fleet.Rollout{Model: ident.ModelID(o.name), Steps: defaultSteps(), Limits: defaultLimits()}
+		read(b.tables, o, rolloutFields(), r)
+		b.config.Rollouts[r.Model] = r
+	}
+}
+
+func (b *builder) buildTeams() {
+	for _, o := range b.sorted(kindTeam) {
+		t := teamText{Team: defaultTeam()}
+		t.ID = ident.TeamID(o.name)
+		read(b.tables, o, teamFields(), &t)
+		b.readKeys(o, &t)
+		t.Models = grants(t.grants)
+		team := t.Team
+		b.config.Teams[team.ID] = &team
+	}
+}
+
+// readKeys refuses a plain key without repeating it in the message.
+func (b *builder) readKeys(o *object, t *teamText) {
+	for i, key := range t.keys {
+		if !isHash(key) {
+			what := fmt.Sprintf("key %d is not a hash, and a plain key must not stand in a file; hash it by `marigoldscale keys hash`", i+1)
+			b.problems = append(b.problems, o.problem("keys", what, acceptedHashes))
+			continue
+		}
+		t.Keys = append(t.Keys, fleet.KeyHash(key))
+	}
+}
+
+func (b *builder) buildEndpoints() {
+	for _, o := range b.sorted(kindEndpoint) {
+		e := endpointText{EndpointSpec: fleet.EndpointSpec{ID: ident.EndpointID(o.name), Cold: 1}}
+		read(b.tables, o, endpointFields(), &e)
+		if e.release != "" {
+			e.Release, _ = ident.ParseRelease(e.release) // the field has checked its form
+		}
+		spec := e.EndpointSpec
+		b.config.Endpoints[spec.ID] = &spec
+	}
+}
+
+// grants folds model and model@version entries into one grant a model; a plain
+// model allows all its versions.
+func grants(texts []string) []fleet.ModelGrant {
+	var all []fleet.ModelGrant
+	index := map[ident.ModelID]int{}
+	for _, text := range texts {
+		g := fleet.ModelGrant{Model: ident.ModelID(text)}
+		if r, err := ident.ParseRelease(text); err == nil {
+			g = fleet.ModelGrant{Model: r.Model, Versions: []ident.VersionID{r.Version}}
+		}
+		i, known := index[g.Model]
+		switch {
+		case !known:
+			index[g.Model] = len(all)
+			all = append(all, g)
+		case len(g.Versions) == 0 || len(all[i].Versions) == 0:
+			all[i].Versions = nil
+		default:
+			all[i].Versions = append(all[i].Versions, g.Versions...)
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/internal/config/check.go
@@ -0,0 +1,258 @@
+package config
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+
+	"github.com/marigoldscale/marigoldscale/internal/fleet"
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+const (
+	maxNamesShown = 20 // in what a message lists as accepted
+	maxSteps      = 100
+)
+
+// check finds what no table shows alone: references and contradictions.
+func (b *builder) check() {
+	for _, o := range b.sorted(kindModel) {
+		b.checkModel(o, b.config.Models[ident.ModelID(o.name)])
+	}
+	for _, r := range b.config.Rollouts {
+		b.checkRollout(b.rolloutObject(r.Model), r)
+	}
+	for _, o := range b.sorted(kindTeam) {
+		b.checkTeam(o, b.config.Teams[ident.TeamID(o.name)])
+	}
+	for _, o := range b.sorted(kindEndpoint) {
+		b.checkEndpoint(o, b.config.Endpoints[ident.EndpointID(o.name)])
+	}
+	b.checkKeys()
+	b.checkAddresses()
+}
+
+func (b *builder) checkModel(o *object, m *fleet.Model) {
+	b.checkRepeats(o, "versions", texts(m.Versions))
+	if len(m.Versions) == 0 {
+		return // reported with the key
+	}
+	if m.Default != "" && !contains(m.Versions, m.Default) {
+		b.fault(o, "default", fmt.Sprintf("%q is not a version of model %q", m.Default, o.name), list(m.Versions))
+	}
+	if contains(m.Withdrawn, m.Default) {
+		b.fault(o, "default", fmt.Sprintf("default version %q is withdrawn", m.Default), "a version that is not withdrawn")
+	}
+	for _, v := range m.Withdrawn {
+		if !contains(m.Versions, v) && !b.overlaid(m.ID, v) {
+			b.fault(o, "withdrawn", fmt.Sprintf("%q is not a version of model %q", v, o.name), list(m.Versions))
+		}
+	}
+}
+
+// overlaid tells whether an overlay withdraws the version; there it may stay
+// after the version itself has gone.
+func (b *builder) overlaid(model ident.ModelID, version ident.VersionID) bool {
+	_, ok := b.objects[kindWithdrawn][ident.Release{Model: model, Version: version}.String()]
+	return ok
+}
+
+// rolloutObject gives the table that declares a model's roll-out, or the
+// overlay that started it.
+func (b *builder) rolloutObject(model ident.ModelID) *object {
+	if o, ok := b.objects[kindRollout][string(model)]; ok {
+		return o
+	}
+	return b.objects[kindStart][string(model)]
+}
+
+func (b *builder) checkRollout(o *object, r *fleet.Rollout) {
+	m, known := b.config.Models[r.Model]
+	if !known {
+		b.fault(o, "", fmt.Sprintf("model %q is not declared", r.Model), declared(b.config.Models))
+		return
+	}
+	if r.To != "" && !contains(m.Versions, r.To) {
+		b.fault(o, "to", fmt.Sprintf("%q is not a version of model %q", r.To, r.Model), list(m.Versions))
+	}
+	if len(r.Steps) == 0 || len(r.Steps) > maxSteps {
+		b.fault(o, "steps", fmt.Sprintf("%d steps", len(r.Steps)), fmt.Sprintf("1 to %d steps", maxSteps))
+	}
+	for i := 1; i < len(r.Steps); i++ {
+		if r.Steps[i].Share <= r.Steps[i-1].Share {
+			b.fault(o, "steps", fmt.Sprintf("step %d does not raise the share of step %d", i+1, i), "shares that rise from step to step")
+		}
+	}
+	for i, s := range r.Steps {
+		if s.Share == 0 {
+			b.fault(o, "steps", fmt.Sprintf("step %d has share 0", i+1), "a share above 0")
+		}
+	}
+}
+
+func (b *builder) checkTeam(o *object, t *fleet.Team) {
+	granted := map[ident.ModelID]bool{}
+	for _, g := range t.Models {
+		granted[g.Model] = true
+		b.checkGrant(o, g)
+	}
+	for _, s := range t.Services {
+		if _, known := b.config.Services[s]; !known {
+			b.fault(o, "services", fmt.Sprintf("service %q is not declared", s), declared(b.config.Services))
+		}
+	}
+	b.checkRepeats(o, "services", texts(t.Services))
+	b.checkRepeats(o, "cheaper", texts(t.Cheaper))
+	for _, c := range t.Cheaper {
+		b.checkCheaper(o, t, c, granted[c])
+	}
+	if t.Burst > 0 && t.Rate == 0 {
+		b.fault(o, "burst", "burst without a rate", "a rate above 0 beside it")
+	}
+}
+
+func (b *builder) checkGrant(o *object, g fleet.ModelGrant) {
+	m, known := b.config.Models[g.Model]
+	if !known {
+		b.fault(o, "models", fmt.Sprintf("model %q is not declared", g.Model), declared(b.config.Models))
+		return
+	}
+	for _, v := range g.Versions {
+		if !contains(m.Versions, v) {
+			b.fault(o, "models", fmt.Sprintf("%q is not a version of model %q", v, g.Model), list(m.Versions))
+		}
+	}
+}
+
+// checkCheaper wants a model that the team is granted, and that costs less than
+// another one of the team's.
+func (b *builder) checkCheaper(o *object, t *fleet.Team, cheaper ident.ModelID, granted bool) {
+	m, known := b.config.Models[cheaper]
+	switch {
+	case !known:
+		b.fault(o, "cheaper", fmt.Sprintf("model %q is not declared", cheaper), declared(b.config.Models))
+		return
+	case !granted:
+		b.fault(o, "cheaper", fmt.Sprintf("model %q is not among the team's models", cheaper), "a model listed under models")
+		return
+	}
+	for _, g := range t.Models {
+		if dear, ok := b.config.Models[g.Model]; ok && dear.Price > m.Price {
+			return
+		}
+	}
+	b.fault(o, "cheaper", fmt.Sprintf("model %q is not cheaper than any other model of the team", cheaper), "a model of lower price")
+}
+
+func (b *builder) checkEndpoint(o *object, e *fleet.EndpointSpec) {
+	if _, known := b.config.Zones[e.Zone]; e.Zone != "" && !known {
+		b.fault(o, "zone", fmt.Sprintf("zone %q is not declared", e.Zone), declared(b.config.Zones))
+	}
+	if (e.Service == "") == (e.Release == ident.Release{}) {
+		b.fault(o, "", "neither or both of release and service are given", "exactly one of release and service")
+	}
+	if _, known := b.config.Services[e.Service]; e.Service != "" && !known {
+		b.fault(o, "service", fmt.Sprintf("service %q is not declared", e.Service), declared(b.config.Services))
+	}
+	if e.Release != (ident.Release{}) {
+		b.checkRelease(o, e.Release)
+	}
+	if e.Slots > 0 && e.Cold > e.Slots {
+		b.fault(o, "cold", fmt.Sprintf("cold %d is more than slots %d", e.Cold, e.Slots), "at most slots")
+	}
+}
+
+func (b *builder) checkRelease(o *object, r ident.Release) {
+	m, known := b.config.Models[r.Model]
+	if !known {
+		b.fault(o, "release", fmt.Sprintf("model %q is not declared", r.Model), declared(b.config.Models))
+		return
+	}
+	if !contains(m.Versions, r.Version) {
+		b.fault(o, "release", fmt.Sprintf("%q is not a version of model %q", r.Version, r.Model), list(m.Versions))
+	}
+}
+
+// checkKeys refuses one key for two teams, since a key tells the team.
+func (b *builder) checkKeys() {
+	owners := map[fleet.KeyHash]ident.TeamID{}
+	for _, o := range b.sorted(kindTeam) {
+		for _, key := range b.config.Teams[ident.TeamID(o.name)].Keys {
+			owner, taken := owners[key]
+			if taken {
+				b.fault(o, "keys", fmt.Sprintf("a key is also a key of team %q", owner), "a key for one team, once")
+			}
+			owners[key] = ident.TeamID(o.name)
+		}
+	}
+}
+
+// checkAddresses refuses one address for two endpoints, since the load limits
+// of each would let through the sum.
+func (b *builder) checkAddresses() {
+	owners := map[string]ident.EndpointID{}
+	for _, o := range b.sorted(kindEndpoint) {
+		e := b.config.Endpoints[ident.EndpointID(o.name)]
+		owner, taken := owners[e.Address]
+		if taken && e.Address != "" {
+			b.fault(o, "address", fmt.Sprintf("endpoint %q has this address, too", owner), "an address of its own")
+		}
+		owners[e.Address] = e.ID
+	}
+}
+
+func (b *builder) checkRepeats(o *object, key string, all []string) {
+	seen := map[string]bool{}
+	for _, one := range all {
+		if seen[one] {
+			b.fault(o, key, fmt.Sprintf("%q is listed twice", one), "each name once")
+		}
+		seen[one] = true
+	}
+}
+
+func (b *builder) fault(o *object, key, what, accepted string) {
+	if key == "" || isOverlay(o.kind) {
+		b.problems = append(b.problems, o.parts[0].document.Problem(o.path(), what, accepted))
+		return
+	}
+	b.problems = append(b.problems, o.problem(key, what, accepted))
+}
+
+func contains[T comparable](all []T, one T) bool {
+	for _, v := range all {
+		if v == one {
+			return true
+		}
+	}
+	return false
+}
+
+func texts[S ~string](all []S) []string {
+	out := make([]string, len(all))
+	for i, s := range all {
+		out[i] = string(s)
+	}
+	return out
+}
+
+func list[S ~string](all []S) string {
+	sorted := texts(all)
+	sort.Strings(sorted)
+	if len(sorted) == 0 {
+		return "none is declared yet"
+	}
+	if len(sorted) > maxNamesShown {
+		return fmt.Sprintf("%s and %d more", strings.Join(sorted[:maxNamesShown], ", "), len(sorted)-maxNamesShown)
+	}
+	return strings.Join(sorted, ", ")
+}
+
+// declared lists the names that a reference may take.
+func declared[S ~string, V any](all map[S]V) string {
+	names := make([]S, 0, len(all))
+	for n := range all {
+		names = append(names, n)
+	}
+	return list(names)
+}
--- /dev/null
+++ b/internal/config/overlay.go
@@ -0,0 +1,119 @@
+package config
+
+import (
+	"fmt"
+
+	"github.com/marigoldscale/marigoldscale/internal/fleet"
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+// The words that the hold table accepts for a model's roll-out.
+const (
+	HoldPaused  = "paused"
+	HoldAborted = "aborted"
+	HoldNone    = "none"
+)
+
+// overlay applies the tables by which commands change declared objects without
+// an edit of the operators' own files. Order matters: a roll-out is started
+// before it is held.
+func (b *builder) overlay() {
+	for _, o := range b.sorted(kindOut) {
+		b.overlayOut(o)
+	}
+	for _, o := range b.sorted(kindDefault) {
+		b.overlayDefault(o)
+	}
+	for _, o := range b.sorted(kindWithdrawn) {
+		b.overlayWithdrawn(o)
+	}
+	for _, o := range b.sorted(kindStart) {
+		b.overlayStart(o)
+	}
+	for _, o := range b.sorted(kindHold) {
+		b.overlayHold(o)
+	}
+}
+
+func (b *builder) overlayOut(o *object) {
+	out, isBool := o.value().(bool)
+	z, known := b.config.Zones[ident.ZoneID(o.name)]
+	switch {
+	case !isBool:
+		b.overlayProblem(o, "value is not accepted", "true or false")
+	case !known:
+		b.overlayProblem(o, fmt.Sprintf("zone %q is not declared", o.name), declared(b.config.Zones))
+	default:
+		z.Out = out
+	}
+}
+
+func (b *builder) overlayDefault(o *object) {
+	version, isText := o.value().(string)
+	m, known := b.config.Models[ident.ModelID(o.name)]
+	switch {
+	case !isText:
+		b.overlayProblem(o, "value is not accepted", "a version of the model")
+	case !known:
+		b.overlayProblem(o, fmt.Sprintf("model %q is not declared", o.name), declared(b.config.Models))
+	default:
+		m.Default = ident.VersionID(version)
+	}
+}
+
+func (b *builder) overlayWithdrawn(o *object) {
+	if _, isText := o.value().(string); !isText {
+		b.overlayProblem(o, "value is not accepted", "the reason, a string")
+		return
+	}
+	release, _ := ident.ParseRelease(o.name) // its form was checked with the key
+	m, known := b.config.Models[release.Model]
+	if known && !contains(m.Withdrawn, release.Version) {
+		m.Withdrawn = append(m.Withdrawn, release.Version)
+	}
+}
+
+func (b *builder) overlayStart(o *object) {
+	version, isText := o.value().(string)
+	if !isText || !name.MatchString(version) {
+		b.overlayProblem(o, "value is not accepted", "a version of the model")
+		return
+	}
+	model := ident.ModelID(o.name)
+	r, exists := b.config.Rollouts[model]
+	if !exists {
+		r = &fleet.Rollout{Model: model, Steps: defaultSteps(), Limits: defaultLimits()}
+		b.config.Rollouts[model] = r
+	}
+	r.To = ident.VersionID(version)
+	r.Paused = false
+	r.Aborted = false
+}
+
+func (b *builder) overlayHold(o *object) {
+	r, known := b.config.Rollouts[ident.ModelID(o.name)]
+	if !known {
+		b.overlayProblem(o, fmt.Sprintf("no roll-out of model %q is declared", o.name), declared(b.config.Rollouts))
+		return
+	}
+	switch o.value() {
+	case HoldPaused:
+		r.Paused = true
+	case HoldAborted:
+		r.Aborted = true
+	case HoldNone:
+		r.Paused = false
+		r.Aborted = false
+	default:
+		b.overlayProblem(o, "value is not accepted", fmt.Sprintf("one of %q", []string{HoldPaused, HoldAborted, HoldNone}))
+	}
+}
+
+func (b *builder) overlayProblem(o *object, what, accepted string) {
+	b.problems = append(b.problems, o.parts[0].document.Problem(o.path(), what, accepted))
+}
+
+// value gives the plain value of an overlay's key.
+func (o *object) value() any {
+	return o.parts[0].table[o.name]
+}
