--- /dev/null
+++ b/internal/publsh/publish.go
@@ -0,0 +1,124 @@
+package publsh
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/marigoldscale/marigoldscale/internal/config"
+	"github.com/marigoldscale/marigoldscale/internal/plat"
+)
+
+// Publisher runs publications against a platform.
+type Publisher struct {
+	platform plat.Platform
+	now      func() time.Time
+	sleep    func(context.Context, time.Duration) error
+}
+
+// NewPublisher gives a publisher that takes the time from now and pauses by
+// sleep, which ends early with ctx.
+func NewPublisher(platform plat.Platform, now func() time.Time, sleep func(context.Context, time.Duration) error) *Publisher {
+	return &Publisher{platform: platform, now: now, sleep: sleep}
+}
+
+// Publish puts a change in force on the platform. It fails with *Refused,
+// *Restored, *Conflict, *Moved or, if the platform does not answer, with
+// plat.ErrUnavailable or plat.ErrUncertain.
+func (p *Publisher) Publish(ctx context.Context, request Request) (Result, error) {
+	m := New(request)
+	var event Event = Begin{}
+	for {
+		switch a := m.Step(p.now(), event).(type) {
+		case ReadHead:
+			if err := p.sleep(ctx, a.After); err != nil {
+				return Result{}, fmt.Errorf("publish: %w", err)
+			}
+			event = p.readHead(ctx)
+		case ReadParts:
+			event = p.readParts(ctx, a)
+		case WriteParts:
+			event = p.writeParts(ctx, a)
+		case WriteHead:
+			event = p.writeHead(ctx, a)
+		case Finish:
+			return a.Result, nil
+		case Fail:
+			return Result{}, fmt.Errorf("publish: %w", a.Err)
+		}
+	}
+}
+
+// CurrentHead gives the head in force and its version, or version 0 if nothing
+// was ever published.
+func CurrentHead(ctx context.Context, platform plat.Platform) (plat.Head, plat.Version, error) {
+	object, err := platform.Get(ctx, plat.ClassConfig, plat.HeadKey)
+	if errors.Is(err, plat.ErrAbsent) {
+		return plat.Head{}, 0, nil
+	}
+	if err != nil {
+		return plat.Head{}, 0, fmt.Errorf("read the head: %w", err)
+	}
+	var head plat.Head
+	if err := json.Unmarshal(object.Value, &head); err != nil {
+		return plat.Head{}, 0, fmt.Errorf("head in force is not valid JSON: %w", err)
+	}
+	return head, object.Version, nil
+}
+
+func (p *Publisher) readHead(ctx context.Context) Event {
+	head, version, err := CurrentHead(ctx, p.platform)
+	if err != nil {
+		return Failed{Err: err}
+	}
+	return HeadRead{Head: head, Version: version}
+}
+
+func (p *Publisher) readParts(ctx context.Context, a ReadParts) Event {
+	texts := map[string][]byte{}
+	for _, digest := range a.Digests {
+		object, err := p.platform.Get(ctx, plat.ClassConfig, partKey(digest))
+		if err != nil {
+			return Failed{Err: fmt.Errorf("read a file in force: %w", err)}
+		}
+		texts[digest] = object.Value
+	}
+	return PartsRead{Texts: texts}
+}
+
+// writeParts takes a conflict for success, since a part's key is its digest.
+func (p *Publisher) writeParts(ctx context.Context, a WriteParts) Event {
+	for _, f := range a.Files {
+		key := partKey(config.TextDigest(f.Text))
+		_, err := p.platform.Put(ctx, plat.ClassConfig, key, f.Text, 0)
+		if err != nil && !errors.Is(err, plat.ErrConflict) {
+			return Failed{Err: fmt.Errorf("write file %q: %w", f.Path, err)}
+		}
+	}
+	return PartsWritten{}
+}
+
+func (p *Publisher) writeHead(ctx context.Context, a WriteHead) Event {
+	text, err := json.Marshal(a.Head)
+	if err != nil {
+		return Failed{Err: fmt.Errorf("write the head: %w", err)}
+	}
+	_, err = p.platform.Put(ctx, plat.ClassConfig, plat.HeadKey, text, a.Expect)
+	switch {
+	case err == nil:
+		return HeadWritten{}
+	case errors.Is(err, plat.ErrConflict):
+		return HeadMoved{}
+	case errors.Is(err, plat.ErrUnavailable):
+		return Failed{Err: err}
+	default:
+		return HeadUnknown{}
+	}
+}
+
+func partKey(digest string) plat.Key {
+	return plat.PartPrefix + plat.Key(digest)
+}
