--- a/internal/ctrl/event.go
+++ b/internal/ctrl/event.go
@@ -74,8 +74,10 @@
 	Team        ident.TeamID
 	Fingerprint ident.Fingerprint
 	Outcome     roll.Outcome
-	Died        bool // the connection broke after something was sent
-	Counts      bool // as evidence about the release
+	Latency     time.Duration // time to the first token, 0 if none came
+	Expected    time.Duration // the same, as expected
+	Died        bool          // the connection broke after something was sent
+	Counts      bool          // as evidence about the release
 }
 
 // Rated brings a rating of an answer.
--- a/internal/ctrl/view.go
+++ b/internal/ctrl/view.go
@@ -5,6 +5,7 @@
 
 	"github.com/marigoldscale/marigoldscale/internal/casc"
 	"github.com/marigoldscale/marigoldscale/internal/fleet"
+	"github.com/marigoldscale/marigoldscale/internal/roll"
 	"github.com/marigoldscale/marigoldscale/pkg/ident"
 )
 
@@ -40,3 +41,12 @@
 func (q *Quota) Take() bool {
 	return !q.Limited || q.left.Add(-1) >= 0
 }
+
+// Quota gives what the choice of a version depends on.
+func (v *View) Quota(model ident.ModelID) roll.Quota {
+	q, ok := v.Quotas[model]
+	if !ok {
+		return roll.Quota{}
+	}
+	return roll.Quota{Limited: q.Limited, Left: q.Left()}
+}
--- a/internal/flow/action.go
+++ b/internal/flow/action.go
@@ -29,11 +29,9 @@
 // Unclaim gives the right back, since nothing was sent. It is not answered.
 type Unclaim struct{}
 
-// Guard asks the home of the body's fingerprint whether it may run: Guarded.
-type Guard struct {
-	Died     bool // the endpoint broke under the last attempt
-	Endpoint ident.EndpointID
-}
+// Guard asks the home of the body's fingerprint whether the attempt may run:
+// Guarded.
+type Guard struct{ Attempt ident.AttemptID }
 
 // Place asks for an endpoint, with a permit if it is cold: Placed, Full or
 // Barren.
--- a/internal/flow/attempt.go
+++ b/internal/flow/attempt.go
@@ -18,10 +18,9 @@
 	}
 	f.hedging = false
 	f.stage = stageRun
-	id := f.newPlace(false).Attempt
+	id := f.nextAttempt()
 	f.made++
 	f.tried++
-	f.last = e.Endpoint.Spec.ID
 	f.attempts[id] = &attempt{endpoint: e.Endpoint, started: now, expected: e.Expected}
 	if f.made == 1 {
 		f.budget.Earn(now)
@@ -204,7 +203,7 @@
 	}
 	f.known(facts.Outcome)
 	f.exclude = append(f.exclude, a.endpoint.Spec.ID)
-	return f.follow(retry.Decide(now, facts, f.budget), facts.Outcome)
+	return f.follow(retry.Decide(now, facts, f.budget))
 }
 
 // known makes the record of what ran more exact, now that an attempt ended
@@ -220,57 +219,46 @@
 }
 
 // follow does what was decided after a failed attempt.
-func (f *Flow) follow(decided retry.Action, o retry.Outcome) []Action {
-	died := o == retry.OutcomeBroken
+func (f *Flow) follow(decided retry.Action) []Action {
 	switch d := decided.(type) {
 	case retry.Retry:
-		return f.again(d.After, died)
+		return f.again(d.After)
 	case retry.Resume:
-		return f.again(d.After, died)
+		return f.again(d.After)
 	case retry.Stop:
-		return f.stop(d, died)
+		return f.stop(d)
 	default:
 		return nil
 	}
 }
 
-// again starts another attempt, after the home of the body has agreed if an
-// endpoint may have died under it.
-func (f *Flow) again(after time.Duration, died bool) []Action {
+// again starts another attempt after a pause.
+func (f *Flow) again(after time.Duration) []Action {
 	if f.hedging {
 		f.stage = stagePlace // the open Place serves
 		return nil
 	}
-	if died {
-		f.died = true
-		return f.guard()
-	}
-	f.stage = stagePlace
 	if after == 0 {
-		return f.place()
+		return f.guard()
 	}
-	return []Action{Wake{Timer: TimerPlace, After: after}}
+	f.stage = stageGuard
+	return []Action{Wake{Timer: TimerGuard, After: after}}
 }
 
 // stop gives up on the present model, or waits for a hedge.
-func (f *Flow) stop(d retry.Stop, died bool) []Action {
+func (f *Flow) stop(d retry.Stop) []Action {
 	if d.Reason == retry.ReasonRunning {
 		return nil
 	}
 	if d.Reason == retry.ReasonRejected {
 		return f.refuse(Refusal{Code: CodeInvalid, Message: "the endpoint rejected the request", Ran: f.ran})
 	}
-	f.died = died
 	if d.Reason != retry.ReasonOnce {
 		if next, ok := f.next(true); ok {
 			return next
 		}
 	}
-	var actions []Action
-	if died {
-		actions = append(actions, Guard{Died: true, Endpoint: f.last})
-	}
-	return append(actions, f.refuse(f.failure(d.Reason))...)
+	return f.refuse(f.failure(d.Reason))
 }
 
 func (f *Flow) failure(reason retry.Reason) Refusal {
--- a/internal/flow/event.go
+++ b/internal/flow/event.go
@@ -15,9 +15,7 @@
 }
 
 // Begin starts the flow.
-type Begin struct {
-	Suspicion fleet.Suspicion // of the request's body
-}
+type Begin struct{}
 
 // Admitted means that the request may start.
 type Admitted struct{}
@@ -31,10 +29,10 @@
 
 // Rung is one model of a cascade.
 type Rung struct {
-	Model     ident.ModelID
-	Rated     bool          // its answer is rated before it is passed on
-	Threshold ident.Quality // rating from which the answer is passed on
-	Fallback  bool          // tried only when the rungs before had no capacity
+	Index    int // within the plan
+	Model    ident.ModelID
+	Rated    bool // its answer is rated before it is passed on
+	Fallback bool // tried only when the rungs before had no capacity
 }
 
 // Bound gives the version that the session keeps.
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -29,7 +29,6 @@
 	budget    *retry.Budget
 	price     Pricer
 	stage     stage
-	suspicion fleet.Suspicion
 	rungs     []Rung
 	rung      int
 	meta      Meta
@@ -39,9 +38,7 @@
 	tried     int // attempts of this rung
 	exclude   []ident.EndpointID
 	alone     bool
-	died      bool // the last attempt's endpoint may have died under it
-	hedging   bool // a Place for a hedge is open
-	last      ident.EndpointID
+	hedging   bool     // a Place for a hedge is open
 	held      []string // pieces of an answer that is not yet passed on
 	empty     bool     // no text was received
 	open      bool     // pieces were passed on
@@ -115,7 +112,6 @@
 	}
 	switch e := e.(type) {
 	case Begin:
-		f.suspicion = e.Suspicion
 		return []Action{Ask{}}
 	case Admitted:
 		return f.admitted()
@@ -168,7 +164,7 @@
 	if !e.Cold {
 		return nil
 	}
-	return []Action{Forgo{Attempt: f.newPlace(false).Attempt, Endpoint: e.Endpoint}}
+	return []Action{Forgo{Attempt: f.nextAttempt(), Endpoint: e.Endpoint}}
 }
 
 func (f *Flow) admitted() []Action {
@@ -231,15 +227,11 @@
 	return f.reply(Result{Meta: f.meta, Answer: answer, Repeat: true})
 }
 
-// guard asks about a body that endpoints may have died under, and else goes on.
+// guard asks the home of the body's fingerprint before each run, so that a body
+// that crashes endpoints is stopped over the whole fleet.
 func (f *Flow) guard() []Action {
-	if !f.died && f.suspicion == fleet.SuspicionNone {
-		return f.place()
-	}
 	f.stage = stageGuard
-	ask := Guard{Died: f.died, Endpoint: f.last}
-	f.died = false
-	return []Action{ask}
+	return []Action{Guard{Attempt: f.nextAttempt()}}
 }
 
 func (f *Flow) guarded(now time.Time, g Guarded) []Action {
@@ -250,7 +242,6 @@
 		message := "endpoints have crashed while they ran this body; it will not be run again"
 		return f.refuse(Refusal{Code: CodeCrashes, Message: message, Ran: f.ran})
 	case g.Allowed:
-		f.suspicion = fleet.SuspicionNone
 		f.alone = g.Alone
 		return f.place()
 	case now.Add(g.After).Before(f.request.Deadline):
@@ -268,7 +259,7 @@
 
 func (f *Flow) newPlace(hedge bool) Place {
 	return Place{
-		Attempt: ident.AttemptID(f.prefix + strconv.Itoa(f.made)),
+		Attempt: f.nextAttempt(),
 		Release: f.meta.Release,
 		Exclude: f.exclude,
 		Alone:   f.alone,
@@ -276,6 +267,10 @@
 	}
 }
 
+func (f *Flow) nextAttempt() ident.AttemptID {
+	return ident.AttemptID(f.prefix + strconv.Itoa(f.made))
+}
+
 // full waits for room, unless another model has some or time is too short.
 func (f *Flow) full(now time.Time, e Full) []Action {
 	if f.hedging && f.stage == stageRun {
@@ -331,7 +326,7 @@
 	case t == TimerPlace && f.stage == stagePlace:
 		return f.place()
 	case t == TimerGuard && f.stage == stageGuard:
-		return []Action{Guard{Endpoint: f.last}}
+		return f.guard()
 	case t == TimerHedge && f.stage == stageRun:
 		return f.hedge(now)
 	default:
--- /dev/null
+++ b/internal/serve/bind.go
@@ -0,0 +1,216 @@
+package serve
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/marigoldscale/marigoldscale/internal/casc"
+	"github.com/marigoldscale/marigoldscale/internal/ctrl"
+	"github.com/marigoldscale/marigoldscale/internal/flow"
+	"github.com/marigoldscale/marigoldscale/internal/roll"
+	"github.com/marigoldscale/marigoldscale/internal/route"
+	"github.com/marigoldscale/marigoldscale/internal/sess"
+	"github.com/marigoldscale/marigoldscale/internal/shard"
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+const (
+	// bindTimeout bounds the wait for the journal's word on a session.
+	bindTimeout = 250 * time.Millisecond
+	// raterPatience is the longest time for which an answer is held.
+	raterPatience = 400 * time.Millisecond
+)
+
+// plan chooses the models to try.
+func (r *run) plan() []flow.Event {
+	now := r.server.Now()
+	r.blocks = route.Blocks([]byte(r.request.Prompt))
+	if r.request.Version != "" {
+		r.ladder = casc.Ladder{Rungs: []casc.Rung{{Model: r.request.Model}}}
+		return []flow.Event{flow.Planned{Rungs: []flow.Rung{{Model: r.request.Model}}}}
+	}
+	r.ladder = casc.Plan(now, r.view.Config, casc.Request{
+		Team:     r.request.Team,
+		Class:    r.request.Class,
+		Wanted:   r.request.Model,
+		Seed:     uint64(r.request.Fingerprint) ^ roll.Seed(ident.SessionKey{Team: r.request.Key.Team, Session: ident.SessionID(r.request.Key.Request)}),
+		Deadline: r.request.Deadline,
+		Rater:    casc.Rater{Up: r.server.raterUp(now), Patience: raterPatience},
+		Usable:   r.usable,
+	}, r.view.Estimates)
+	rungs := make([]flow.Rung, 0, len(r.ladder.Rungs)+1)
+	planned := false
+	for i, rung := range r.ladder.Rungs {
+		rungs = append(rungs, flow.Rung{Index: i, Model: rung.Model, Rated: rung.Rated})
+		planned = planned || rung.Model == r.request.Model
+	}
+	if !planned {
+		rungs = append(rungs, flow.Rung{Index: len(r.ladder.Rungs), Model: r.request.Model})
+	}
+	return []flow.Event{flow.Planned{Rungs: r.withFallbacks(rungs)}}
+}
+
+// withFallbacks adds the cheaper models that may answer when capacity lacks.
+func (r *run) withFallbacks(rungs []flow.Rung) []flow.Rung {
+	for _, m := range r.request.Team.Cheaper {
+		known := m == r.request.Model
+		for _, rung := range rungs {
+			known = known || rung.Model == m
+		}
+		if !known && r.usable(m) {
+			rungs = append(rungs, flow.Rung{Index: len(r.ladder.Rungs), Model: m, Fallback: true})
+		}
+	}
+	return rungs
+}
+
+// usable tells whether an allowed release of the model has an endpoint that
+// takes work.
+func (r *run) usable(model ident.ModelID) bool {
+	for _, e := range r.view.Endpoints {
+		release := e.Spec.Release
+		if release.Model != model || !r.request.Team.Allows(release) || !r.view.Allowed(release) {
+			continue
+		}
+		if usable(r.view.Snapshot, e) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// bind finds the version of a model that the request runs on.
+func (r *run) bind(ctx context.Context, model ident.ModelID) {
+	r.ask(func() flow.Event { return r.server.bind(ctx, r.view, r.request, model) })
+}
+
+func (s *Server) bind(ctx context.Context, view *ctrl.View, request flow.Request, model ident.ModelID) flow.Event {
+	if request.Version != "" {
+		release := ident.Release{Model: model, Version: request.Version}
+		if !view.Allowed(release) {
+			return withdrawn(release)
+		}
+		return flow.Bound{Meta: flow.Meta{Release: release}}
+	}
+	key := ident.SessionKey{Team: request.Key.Team, Session: request.Session}
+	lone := request.Session == ""
+	if lone {
+		key.Session = ident.SessionID(request.Key.Request)
+	}
+	choice, ok := roll.Assign(roll.Seed(key), view.Snapshot, request.Team, model, view.Quota(model))
+	if !ok {
+		return noVersion(model)
+	}
+	if lone {
+		return s.bindLone(view, request, model, choice)
+	}
+	return s.bindSession(ctx, view, request, key, model, choice)
+}
+
+// bindLone runs a request without a session on the version chosen for it.
+func (s *Server) bindLone(view *ctrl.View, request flow.Request, model ident.ModelID, choice roll.Choice) flow.Event {
+	release := ident.Release{Model: model, Version: choice.Version}
+	if choice.Candidate && !s.expose(view, request, release) {
+		release.Version = view.Config.Models[model].Default
+	}
+	return flow.Bound{Meta: flow.Meta{Release: release}}
+}
+
+// expose takes one exposure from the quota and tells the control thread.
+func (s *Server) expose(view *ctrl.View, request flow.Request, release ident.Release) bool {
+	if quota, ok := view.Quotas[release.Model]; ok && !quota.Take() {
+		return false
+	}
+	s.Tell(ctrl.Exposed{Release: release, Team: request.Key.Team})
+	return true
+}
+
+// bindSession keeps a session on its version, or begins it on the chosen one.
+func (s *Server) bindSession(ctx context.Context, view *ctrl.View, request flow.Request, key ident.SessionKey, model ident.ModelID, choice roll.Choice) flow.Event {
+	ctx, span := s.Tracer.Start(ctx, "bind")
+	defer span.End()
+	now := s.Now()
+	var token *sess.Binding
+	if request.Token != "" {
+		if b, err := s.Sealer.Open(key, sess.Token(request.Token)); err == nil {
+			token = &b
+		}
+	}
+	remembered := s.Cache.Get(key, model)
+	resolved := sess.Resolve(now, view.Snapshot, key, model, token, remembered, choice.Version)
+	if resolved.Renew && remembered == nil {
+		s.settleBinding(ctx, view, request, &resolved, choice)
+	}
+	s.Cache.Put(resolved.Binding)
+	return s.boundEvent(view, request, resolved)
+}
+
+// settleBinding agrees on a binding with the fleet's journal. When that is
+// away, the choice by hash stands, which all routers make alike.
+func (s *Server) settleBinding(ctx context.Context, view *ctrl.View, request flow.Request, resolved *sess.Resolution, choice roll.Choice) {
+	b := &resolved.Binding
+	fresh := choice.Candidate && b.Version == choice.Version
+	release := ident.Release{Model: b.Model, Version: b.Version}
+	if fresh && !s.expose(view, request, release) {
+		b.Version = view.Config.Models[b.Model].Default
+	}
+	ctx, cancel := context.WithTimeout(ctx, bindTimeout)
+	defer cancel()
+	record := shard.Bind{Session: b.Session, Model: b.Model, Version: b.Version, Was: resolved.From, At: s.Now()}
+	kept, err := s.Journal.Bind(ctx, record)
+	if err != nil {
+		s.Log.Debug("binding waits for the platform", zap.String("session", b.Session.String()), zap.Error(err))
+		return
+	}
+	if kept == b.Version {
+		return
+	}
+	if view.Allowed(ident.Release{Model: b.Model, Version: kept}) {
+		b.Version = kept
+		resolved.Moved = false
+		return
+	}
+	s.moveBinding(ctx, resolved, kept)
+}
+
+// moveBinding moves a session off the withdrawn version that the journal has.
+func (s *Server) moveBinding(ctx context.Context, resolved *sess.Resolution, from ident.VersionID) {
+	b := &resolved.Binding
+	resolved.Moved = true
+	resolved.From = from
+	record := shard.Bind{Session: b.Session, Model: b.Model, Version: b.Version, Was: from, At: s.Now()}
+	if kept, err := s.Journal.Bind(ctx, record); err == nil {
+		b.Version = kept
+	}
+}
+
+func (s *Server) boundEvent(view *ctrl.View, request flow.Request, resolved sess.Resolution) flow.Event {
+	release := ident.Release{Model: resolved.Binding.Model, Version: resolved.Binding.Version}
+	if !view.Allowed(release) || !request.Team.Allows(release) {
+		return withdrawn(release)
+	}
+	sealed, err := s.Sealer.Seal(resolved.Binding)
+	if err != nil {
+		s.Log.Error("sealing session token", zap.Error(err))
+	}
+	return flow.Bound{Meta: flow.Meta{Release: release, Token: string(sealed), Moved: resolved.Moved}}
+}
+
+func withdrawn(release ident.Release) flow.Event {
+	return flow.Denied{Refusal: flow.Refusal{
+		Code:    flow.CodeWithdrawn,
+		Message: "version " + release.String() + " is withdrawn or not allowed",
+		Ran:     flow.RanNo,
+	}}
+}
+
+func noVersion(model ident.ModelID) flow.Event {
+	return flow.Denied{Refusal: flow.Refusal{
+		Code:    flow.CodeWithdrawn,
+		Message: "model " + string(model) + " has no version that the team may use now",
+		Ran:     flow.RanNo,
+		After:   time.Second,
+	}}
+}
--- /dev/null
+++ b/internal/serve/place.go
@@ -0,0 +1,129 @@
+package serve
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/attribute"
+
+	"github.com/marigoldscale/marigoldscale/internal/flow"
+	"github.com/marigoldscale/marigoldscale/internal/poison"
+	"github.com/marigoldscale/marigoldscale/internal/route"
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+const (
+	// guardTimeout bounds the wait for the home of a body.
+	guardTimeout = 500 * time.Millisecond
+	// permitTimeout bounds the wait for a steward.
+	permitTimeout = time.Second
+	// permitPause is when to ask again after a permit was denied.
+	permitPause = 100 * time.Millisecond
+	// barrenPause is when to come back if no endpoint serves a release.
+	barrenPause = 2 * time.Second
+)
+
+// Denied is the error of Permits.Ask when a steward gives no slot now.
+type Denied struct {
+	Reason string
+	After  time.Duration
+}
+
+// Error gives the reason.
+func (d *Denied) Error() string {
+	return "permit denied: " + d.Reason
+}
+
+// guard asks the home of the body whether the attempt may run.
+func (r *run) guard(ctx context.Context, a flow.Guard) {
+	r.ask(func() flow.Event { return r.askGuard(ctx, a.Attempt) })
+}
+
+func (r *run) askGuard(ctx context.Context, attempt ident.AttemptID) flow.Guarded {
+	ctx, span := r.server.Tracer.Start(ctx, "guard")
+	defer span.End()
+	ctx, cancel := context.WithTimeout(ctx, guardTimeout)
+	defer cancel()
+	claim := poison.Claim{Fingerprint: r.request.Fingerprint, Router: r.server.Self.ID, Attempt: attempt}
+	switch answer := r.server.Guards.Claim(ctx, claim).(type) {
+	case poison.Run:
+		return flow.Guarded{Allowed: true, Alone: answer.Alone}
+	case poison.Wait:
+		return flow.Guarded{After: answer.RetryAfter}
+	default:
+		return flow.Guarded{Refused: true}
+	}
+}
+
+// place chooses an endpoint on the newest view, and gets a permit if it is cold.
+func (r *run) place(ctx context.Context, a flow.Place) []flow.Event {
+	r.view = r.server.View()
+	r.bound = a.Release
+	if r.request.Service == "" && !r.view.Allowed(a.Release) {
+		return []flow.Event{flow.Barren{Withdrawn: true}}
+	}
+	now := r.server.Now()
+	choice := route.Choose(now, r.view.Snapshot, route.Request{
+		Release:  a.Release,
+		Service:  r.request.Service,
+		Seed:     xxhash.Sum64String(string(a.Attempt)),
+		Prompt:   r.request.Tokens,
+		Blocks:   r.blocks,
+		Exclude:  a.Exclude,
+		Alone:    a.Alone,
+		Priority: r.request.Team.Priority,
+	}, r.server.Table, r.server.Prefixes)
+	switch c := choice.(type) {
+	case route.Send:
+		return r.found(ctx, a, flow.Placed{Endpoint: c.Endpoint, Expected: c.Expected})
+	case route.NeedPermit:
+		if a.Hedge {
+			return []flow.Event{flow.Full{}}
+		}
+		r.permit(ctx, a, c)
+		return nil
+	case route.Wait:
+		return []flow.Event{flow.Full{After: c.RetryAfter}}
+	default:
+		return []flow.Event{flow.Barren{After: barrenPause}}
+	}
+}
+
+// found takes a warm endpoint; a hedge needs the home's consent as well.
+func (r *run) found(ctx context.Context, a flow.Place, placed flow.Placed) []flow.Event {
+	if !a.Hedge {
+		return []flow.Event{placed}
+	}
+	r.ask(func() flow.Event {
+		if guarded := r.askGuard(ctx, a.Attempt); !guarded.Allowed || guarded.Alone {
+			return flow.Full{}
+		}
+		return placed
+	})
+	return nil
+}
+
+// permit asks the steward of the endpoint's zone for a slot.
+func (r *run) permit(ctx context.Context, a flow.Place, c route.NeedPermit) {
+	r.ask(func() flow.Event {
+		ctx, span := r.server.Tracer.Start(ctx, "permit", attribute.String("endpoint", string(c.Endpoint.Spec.ID)))
+		defer span.End()
+		ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+		defer cancel()
+		err := r.server.Permits.Ask(ctx, c.Endpoint, a.Attempt)
+		if err == nil {
+			return flow.Placed{Endpoint: c.Endpoint, Cold: true}
+		}
+		var denied *Denied
+		if errors.As(err, &denied) {
+			return flow.Full{After: max(denied.After, permitPause)}
+		}
+		return flow.Full{After: permitPause}
+	})
+}
+
+func (r *run) forgo(a flow.Forgo) {
+	r.server.Permits.Release(a.Endpoint, a.Attempt)
+}
--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -32,11 +32,10 @@
 	nonce   shard.Nonce
 	blocks  []uint64
 	tries   map[ident.AttemptID]*try
-	slots   map[ident.AttemptID]Slot
 	pending int // answers still to come
 	ticket  ticket
-	guarded ident.AttemptID
-	broken  bool // the sink has failed
+	bound   ident.Release // of the present rung
+	broken  bool          // the sink has failed
 
 	events  chan flow.Event
 	answers chan flow.Event // of counted actions
@@ -51,7 +50,6 @@
 		request: request,
 		sink:    sink,
 		tries:   map[ident.AttemptID]*try{},
-		slots:   map[ident.AttemptID]Slot{},
 		events:  make(chan flow.Event, eventBuffer),
 		answers: make(chan flow.Event),
 		result:  make(chan flow.Result, 1),
@@ -73,7 +71,7 @@
 	defer deadline.Stop()
 	r.view = r.server.View()
 	left := ctx.Done()
-	r.feed(work, flow.Begin{Suspicion: r.view.Poison[r.request.Fingerprint]})
+	r.feed(work, flow.Begin{})
 	for !r.flow.Over() || r.pending > 0 {
 		select {
 		case e := <-r.events:
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/marigoldscale/marigoldscale/internal/ctrl"
@@ -16,6 +15,7 @@
 	"github.com/marigoldscale/marigoldscale/internal/fleet"
 	"github.com/marigoldscale/marigoldscale/internal/flow"
 	"github.com/marigoldscale/marigoldscale/internal/metric"
+	"github.com/marigoldscale/marigoldscale/internal/poison"
 	"github.com/marigoldscale/marigoldscale/internal/retry"
 	"github.com/marigoldscale/marigoldscale/internal/route"
 	"github.com/marigoldscale/marigoldscale/internal/sess"
@@ -35,34 +35,23 @@
 
 // Permits gives slots on cold endpoints.
 type Permits interface {
-	// Ask asks the steward of the endpoint's zone for a slot.
-	Ask(ctx context.Context, endpoint *fleet.Endpoint, attempt ident.AttemptID) (Slot, error)
+	// Ask asks the steward of the endpoint's zone for a slot, and fails with
+	// *Denied if there is none now.
+	Ask(ctx context.Context, endpoint *fleet.Endpoint, attempt ident.AttemptID) error
+	// Check tells, right before sending, whether the attempt may still be sent.
+	Check(now time.Time, attempt ident.AttemptID) bool
+	// Ending gives a channel that is closed when the attempt must be cancelled.
+	Ending(attempt ident.AttemptID) <-chan struct{}
 	// Release gives the slot back.
 	Release(endpoint *fleet.Endpoint, attempt ident.AttemptID)
 }
 
-// Slot is a granted permit.
-type Slot interface {
-	// Check tells whether the attempt may still be sent at now.
-	Check(now time.Time) bool
-	// Until gives the time by which a run that starts now must have ended.
-	Until(now time.Time) time.Time
-}
-
-// Guards asks the home routers of suspected bodies.
+// Guards asks the home routers of bodies whether these may run.
 type Guards interface {
-	Guard(ctx context.Context, question Question) flow.Guarded
-	// Done tells the home that a guarded run has ended without a death.
-	Done(fingerprint ident.Fingerprint, attempt ident.AttemptID)
-}
-
-// Question asks whether a suspected body may run.
-type Question struct {
-	Fingerprint ident.Fingerprint
-	Attempt     ident.AttemptID
-	Died        bool // Endpoint broke under the last attempt
-	Endpoint    ident.EndpointID
-	Boot        string
+	// Claim asks before a run.
+	Claim(ctx context.Context, claim poison.Claim) poison.Answer
+	// End tells of the end of a claimed run; it returns when the home knows.
+	End(ctx context.Context, ended poison.Ended)
 }
 
 // Rater rates answers.
@@ -109,12 +98,11 @@
 	serial      atomic.Uint64
 	open        atomic.Int64
 	raterDown   atomic.Int64 // Unix nanoseconds until which the rater counts as down
-	firsts      *expectations
 }
 
 // New makes a server; started is the time at which this router's life began.
 func New(parts Parts, started time.Time) *Server {
-	return &Server{Parts: parts, incarnation: uint64(started.UnixNano()), firsts: newExpectations()}
+	return &Server{Parts: parts, incarnation: uint64(started.UnixNano())}
 }
 
 // Open gives the number of requests in progress.
@@ -124,7 +112,8 @@
 
 // Run answers one request; see front.Runner.
 func (s *Server) Run(ctx context.Context, request flow.Request, sink flow.Sink) flow.Result {
-	request.Fingerprint = fingerprint(request)
+	salt := string(request.Model) + "/" + string(request.Service) + "/" + request.Path
+	request.Fingerprint = poison.Fingerprint(salt, request.Body)
 	r := newRun(s, request, sink)
 	started := s.Now()
 	ctx, span := s.Tracer.Start(s.Tracer.Remote(ctx, request.Trace), "front", requestAttributes(request)...)
@@ -165,16 +154,6 @@
 	return string(s.Self.ID) + "." + strconv.FormatUint(s.incarnation, 36) + "." + strconv.FormatUint(n, 36) + "."
 }
 
-// fingerprint hashes what an endpoint is given to run.
-func fingerprint(request flow.Request) ident.Fingerprint {
-	d := xxhash.New()
-	_, _ = d.WriteString(string(request.Model))
-	_, _ = d.WriteString(string(request.Service))
-	_, _ = d.WriteString(request.Path)
-	_, _ = d.Write(request.Body)
-	return ident.Fingerprint(d.Sum64())
-}
-
 func releaseName(r ident.Release) string {
 	if r.Model == "" {
 		return ""
