--- /dev/null
+++ b/internal/ctrl/action.go
@@ -0,0 +1,123 @@
+package ctrl
+
+import (
+	"time"
+
+	"github.com/marigoldscale/marigoldscale/internal/fleet"
+	"github.com/marigoldscale/marigoldscale/internal/permit"
+	"github.com/marigoldscale/marigoldscale/internal/plat"
+	"github.com/marigoldscale/marigoldscale/internal/poison"
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+// Action is something that the driver of the control thread is to do.
+type Action interface {
+	action()
+}
+
+// SendBeat sends a heartbeat to a peer: Acked or Missed.
+type SendBeat struct {
+	To    fleet.Router
+	Beat  Beat
+	Marks Marks
+}
+
+// ReadPlatform reads the objects under the configuration prefix: Read or
+// ReadFailed.
+type ReadPlatform struct{}
+
+// FetchConfig gets the configuration of a head that a peer told of, from that
+// peer or else from the platform: Fetched.
+type FetchConfig struct {
+	Head plat.Head
+	From fleet.Router
+}
+
+// List reads the platform's list of instances: Listed.
+type List struct{}
+
+// Announce renews this router's entry in the list of instances.
+type Announce struct{ Router fleet.Router }
+
+// PutRollout writes a roll-out object: Wrote.
+type PutRollout struct {
+	State  fleet.RolloutState
+	Expect plat.Version
+}
+
+// PutWithdrawn writes the object of withdrawals: Wrote.
+type PutWithdrawn struct {
+	List   []fleet.Withdrawal
+	Expect plat.Version
+}
+
+// PutLease writes a zone's steward object: Leased.
+type PutLease struct {
+	Zone   ident.ZoneID
+	Lease  permit.Lease
+	Expect plat.Version
+}
+
+// ReadLease reads a zone's steward object: LeaseRead.
+type ReadLease struct{ Zone ident.ZoneID }
+
+// AnswerPermit answers a question for a permit. Exactly one of Grant and Deny
+// is set.
+type AnswerPermit struct {
+	Ticket Ticket
+	Grant  *permit.Permit
+	Deny   *permit.Deny
+}
+
+// AnswerClaim answers a question about a body.
+type AnswerClaim struct {
+	Ticket Ticket
+	Answer poison.Answer
+}
+
+// Note is something for the log.
+type Note struct {
+	Message string
+	Release ident.Release
+	Reason  string
+}
+
+func (SendBeat) action()     {}
+func (ReadPlatform) action() {}
+func (FetchConfig) action()  {}
+func (List) action()         {}
+func (Announce) action()     {}
+func (PutRollout) action()   {}
+func (PutWithdrawn) action() {}
+func (PutLease) action()     {}
+func (ReadLease) action()    {}
+func (AnswerPermit) action() {}
+func (AnswerClaim) action()  {}
+func (Note) action()         {}
+
+// Ticket names a question that waits for an answer.
+type Ticket uint64
+
+// Settings are the intervals of the control thread.
+type Settings struct {
+	Heartbeat time.Duration // between heartbeats to a peer
+	Read      time.Duration // between reads of the configuration's objects
+	List      time.Duration // between reads of the list of instances
+	Stale     time.Duration // age of a confirmation after which a router reads for itself
+	Permit    permit.Settings
+	Deaths    time.Duration // how long an endpoint's death counts against bodies
+	Claims    time.Duration // longest life of a claimed run
+}
+
+// DefaultSettings gives the intervals for heartbeats of the given interval.
+func DefaultSettings(heartbeat time.Duration) Settings {
+	return Settings{
+		Heartbeat: heartbeat,
+		Read:      time.Second,
+		List:      2 * time.Second,
+		Stale:     2 * time.Second,
+		Permit:    permit.DefaultSettings(),
+		Deaths:    time.Hour,
+		Claims:    15 * time.Minute,
+	}
+}
--- /dev/null
+++ b/internal/ctrl/control.go
@@ -0,0 +1,193 @@
+// Package ctrl is the control thread's machine: it owns all state that a
+// router shares between requests, takes events and the present time, and gives
+// actions. It does no I/O.
+package ctrl
+
+import (
+	"time"
+
+	"github.com/marigoldscale/marigoldscale/internal/casc"
+	"github.com/marigoldscale/marigoldscale/internal/fleet"
+	"github.com/marigoldscale/marigoldscale/internal/permit"
+	"github.com/marigoldscale/marigoldscale/internal/plat"
+	"github.com/marigoldscale/marigoldscale/internal/poison"
+	"github.com/marigoldscale/marigoldscale/internal/roll"
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+// Control is the state of the control thread. It belongs to one goroutine.
+type Control struct {
+	self     fleet.Router
+	source   roll.Source
+	settings Settings
+	started  time.Time
+
+	config    *fleet.Config
+	head      plat.Head
+	confirmed time.Time
+	fetching  ident.Generation // asked for, not yet here
+	platform  reach
+
+	routers   map[ident.RouterID]*router
+	listed    map[ident.RouterID]plat.Instance
+	endpoints map[ident.EndpointID]*endpoint
+	gone      map[ident.EndpointID]bool // leaving, by the list of instances
+
+	withdrawn  map[ident.Release]fleet.Withdrawal
+	stored     map[ident.Release]bool // withdrawals that the platform holds
+	withdrawnV plat.Version
+	rollouts   map[ident.ModelID]Rollout
+	writing    map[plat.Key]bool // writes that are not answered yet
+
+	evidence  *roll.Evidence
+	estimates *casc.Estimates
+	deaths    *poison.Table
+	home      *poison.Home
+	stewards  map[ident.ZoneID]*steward
+
+	lastRead     time.Time
+	lastList     time.Time
+	lastAnnounce time.Time
+	reading      bool
+	stopping     bool
+	changed      bool // a new view is due
+}
+
+// reach tells whether the platform answers.
+type reach struct {
+	reachable bool
+	since     time.Time // of the last change of reachable
+}
+
+// New makes the control state of a router whose life begins at started.
+func New(self fleet.Router, settings Settings, started time.Time) *Control {
+	deaths := poison.New(settings.Deaths)
+	return &Control{
+		self:      self,
+		source:    roll.Source{Router: self.ID, Incarnation: uint64(started.UnixNano())},
+		settings:  settings,
+		started:   started,
+		platform:  reach{since: started},
+		routers:   map[ident.RouterID]*router{},
+		listed:    map[ident.RouterID]plat.Instance{},
+		endpoints: map[ident.EndpointID]*endpoint{},
+		gone:      map[ident.EndpointID]bool{},
+		withdrawn: map[ident.Release]fleet.Withdrawal{},
+		stored:    map[ident.Release]bool{},
+		rollouts:  map[ident.ModelID]Rollout{},
+		writing:   map[plat.Key]bool{},
+		evidence:  roll.New(),
+		estimates: casc.New(),
+		deaths:    deaths,
+		home:      poison.NewHome(deaths, settings.Claims),
+		stewards:  map[ident.ZoneID]*steward{},
+		changed:   true,
+	}
+}
+
+// Step takes an event and gives what to do about it.
+func (c *Control) Step(now time.Time, e Event) []Action {
+	switch e := e.(type) {
+	case Tick:
+		return c.tick(now)
+	case Read:
+		return c.read(now, e)
+	case ReadFailed:
+		c.reading = false
+		c.reach(now, false)
+	case Changed:
+		c.lastRead = time.Time{}
+		return c.ask(now)
+	case Fetched:
+		return c.fetched(e)
+	case Listed:
+		c.list(now, e)
+	case Beaten:
+		return c.beaten(now, e.Beat)
+	case Acked:
+		return c.acked(now, e)
+	case Missed:
+		c.missed(e.Router)
+	case Loaded:
+		return c.loaded(now, e)
+	case LoadFailed:
+		c.loadFailed(now, e.Endpoint)
+	case Attempted:
+		return c.attempted(now, e)
+	case Rated:
+		c.rated(now, e)
+	case Exposed:
+		c.exposed(e)
+	case Withdraw:
+		return c.withdraw(now, e.Withdrawal)
+	case Wrote:
+		return c.wrote(e)
+	case Leased, LeaseRead, LeaseUnread, AskPermit, GiveBack:
+		return c.stewardship(now, e)
+	case AskClaim:
+		return []Action{AnswerClaim{Ticket: e.Ticket, Answer: c.home.Claim(now, e.Claim)}}
+	case EndClaim:
+		return c.endClaim(now, e.Ended)
+	case Stop:
+		return c.stop(now)
+	}
+	return nil
+}
+
+// tick does what is due by time.
+func (c *Control) tick(now time.Time) []Action {
+	var actions []Action
+	actions = append(actions, c.ask(now)...)
+	c.age(now)
+	actions = append(actions, c.decide(now)...)
+	actions = append(actions, c.steer(now)...)
+	actions = append(actions, c.beat(now)...)
+	c.changed = true
+	return actions
+}
+
+// ask reads what is due from the platform. One router of each availability
+// zone reads for all; the others do so when they hear nothing new.
+func (c *Control) ask(now time.Time) []Action {
+	var actions []Action
+	stale := now.Sub(c.confirmed) > c.settings.Stale
+	if !c.reading && now.Sub(c.lastRead) >= c.settings.Read && (c.relay() || stale) {
+		c.reading = true
+		c.lastRead = now
+		actions = append(actions, ReadPlatform{})
+	}
+	interval := c.settings.List * time.Duration(1+len(c.routers)/routersPerList)
+	if now.Sub(c.lastList) >= interval {
+		c.lastList = now
+		actions = append(actions, List{})
+	}
+	if now.Sub(c.lastAnnounce) >= announceInterval {
+		c.lastAnnounce = now
+		actions = append(actions, Announce{Router: c.self})
+	}
+	return actions
+}
+
+const (
+	// routersPerList is the number of routers for which each router reads the
+	// list of instances at its plain interval; more routers read it less often.
+	routersPerList = 16
+	// announceInterval is the time between renewals in the list of instances.
+	announceInterval = 5 * time.Second
+)
+
+// stop begins a graceful shutdown and tells the peers at once.
+func (c *Control) stop(now time.Time) []Action {
+	c.stopping = true
+	c.self.Leaving = true
+	c.changed = true
+	actions := []Action{Announce{Router: c.self}}
+	actions = append(actions, c.stepStewards(now, permit.Stop{})...)
+	return append(actions, c.beatAll(now)...)
+}
+
+func (c *Control) reach(now time.Time, reachable bool) {
+	if c.platform.reachable != reachable {
+		c.platform = reach{reachable: reachable, since: now}
+	}
+}
--- a/internal/ctrl/event.go
+++ b/internal/ctrl/event.go
@@ -6,7 +6,9 @@
 	"github.com/marigoldscale/marigoldscale/internal/casc"
 	"github.com/marigoldscale/marigoldscale/internal/engine"
 	"github.com/marigoldscale/marigoldscale/internal/fleet"
+	"github.com/marigoldscale/marigoldscale/internal/permit"
 	"github.com/marigoldscale/marigoldscale/internal/plat"
+	"github.com/marigoldscale/marigoldscale/internal/poison"
 	"github.com/marigoldscale/marigoldscale/internal/roll"
 	"github.com/marigoldscale/marigoldscale/pkg/ident"
 )
@@ -49,6 +51,7 @@
 // Acked means that a peer has answered a heartbeat.
 type Acked struct {
 	Router     fleet.Router
+	Asked      time.Time // when the heartbeat was sent
 	Generation ident.Generation
 	Age        time.Duration // of the peer's newest confirmation
 	Marks      Marks         // that the heartbeat had carried
@@ -60,6 +63,7 @@
 // Loaded brings an endpoint's report of its load.
 type Loaded struct {
 	Endpoint ident.EndpointID
+	Asked    time.Time // when the report was asked for
 	Load     engine.Load
 }
 
@@ -103,25 +107,73 @@
 	Error error
 }
 
+// Leased answers PutLease.
+type Leased struct {
+	Zone  ident.ZoneID
+	Wrote permit.Wrote
+}
+
+// LeaseRead answers ReadLease.
+type LeaseRead struct {
+	Zone ident.ZoneID
+	Read permit.Read
+}
+
+// LeaseUnread means that a zone's steward object could not be read.
+type LeaseUnread struct{ Zone ident.ZoneID }
+
+// Changed means that the configuration's objects have changed in the platform.
+type Changed struct{}
+
+// AskPermit is a question for a slot on a cold endpoint of a zone.
+type AskPermit struct {
+	Ticket Ticket
+	Zone   ident.ZoneID
+	Asked  permit.Asked
+}
+
+// GiveBack returns a slot.
+type GiveBack struct {
+	Zone     ident.ZoneID
+	Released permit.Released
+}
+
+// AskClaim is a question about a body whose home this router is.
+type AskClaim struct {
+	Ticket Ticket
+	Claim  poison.Claim
+}
+
+// EndClaim tells that a claimed run has ended.
+type EndClaim struct{ Ended poison.Ended }
+
 // Stop begins a graceful shutdown.
 type Stop struct{}
 
-func (Tick) event()       {}
-func (Read) event()       {}
-func (ReadFailed) event() {}
-func (Fetched) event()    {}
-func (Listed) event()     {}
-func (Beaten) event()     {}
-func (Acked) event()      {}
-func (Missed) event()     {}
-func (Loaded) event()     {}
-func (LoadFailed) event() {}
-func (Attempted) event()  {}
-func (Rated) event()      {}
-func (Exposed) event()    {}
-func (Withdraw) event()   {}
-func (Wrote) event()      {}
-func (Stop) event()       {}
+func (Tick) event()        {}
+func (Read) event()        {}
+func (ReadFailed) event()  {}
+func (Fetched) event()     {}
+func (Listed) event()      {}
+func (Beaten) event()      {}
+func (Acked) event()       {}
+func (Missed) event()      {}
+func (Loaded) event()      {}
+func (LoadFailed) event()  {}
+func (Attempted) event()   {}
+func (Rated) event()       {}
+func (Exposed) event()     {}
+func (Withdraw) event()    {}
+func (Wrote) event()       {}
+func (Leased) event()      {}
+func (LeaseRead) event()   {}
+func (LeaseUnread) event() {}
+func (Changed) event()     {}
+func (AskPermit) event()   {}
+func (GiveBack) event()    {}
+func (AskClaim) event()    {}
+func (EndClaim) event()    {}
+func (Stop) event()        {}
 
 // Rollout is a roll-out object with its version in the platform.
 type Rollout struct {
@@ -144,7 +196,10 @@
 	Withdrawals []fleet.Withdrawal
 	Evidence    []roll.Entry
 	Estimates   []casc.Entry
-	Platform    bool // whether the sender reaches the platform
+	Deaths      poison.Delta
+	Colds       []Cold
+	Stewards    []ident.ZoneID // whose steward the sender is
+	Platform    bool           // whether the sender reaches the platform
 	Serving     bool
 	Stopping    bool
 }
@@ -153,4 +208,11 @@
 type Marks struct {
 	Evidence  roll.Mark
 	Estimates casc.Mark
+	Deaths    poison.Version
+}
+
+// Cold says that a router takes an endpoint for cold against its word.
+type Cold struct {
+	Endpoint ident.EndpointID `json:"endpoint"`
+	Mark     permit.Marked    `json:"mark"`
 }
--- /dev/null
+++ b/internal/ctrl/member.go
@@ -0,0 +1,149 @@
+package ctrl
+
+import (
+	"sort"
+	"time"
+
+	"github.com/marigoldscale/marigoldscale/internal/fleet"
+	"github.com/marigoldscale/marigoldscale/internal/plat"
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+const (
+	// heardFor is how long a silent router counts as live.
+	heardFor = 3 * time.Second
+	// listedFor is how long a router that was never heard may take to answer.
+	listedFor = 5 * time.Second
+	// forgetAfter is how long a dead router that is not listed is remembered.
+	forgetAfter = time.Minute
+)
+
+// router is what is known of a peer.
+type router struct {
+	router     fleet.Router
+	generation ident.Generation
+	confirmed  time.Time // by this router's clock
+	heard      time.Time // last heartbeat from it or answer of it
+	met        time.Time // when it was first listed or heard
+	marks      Marks     // that it has
+	sent       time.Time // last heartbeat to it
+	sending    bool
+	serving    bool
+	stopping   bool
+	platform   bool // whether it reaches the platform
+	stewards   []ident.ZoneID
+	folded     bool
+}
+
+// list takes in the platform's list of instances, which lags: it names routers
+// to try, and a leaving instance receives no new work.
+func (c *Control) list(now time.Time, e Listed) {
+	c.listed = map[ident.RouterID]plat.Instance{}
+	for _, i := range e.Instances {
+		id := ident.RouterID(i.ID)
+		if e, ok := c.endpoints[ident.EndpointID(i.ID)]; ok {
+			e.listedLeaving = i.Leaving
+			continue
+		}
+		if id == c.self.ID || i.Address == "" {
+			continue
+		}
+		c.listed[id] = i
+		r := c.meet(now, fleet.Router{ID: id, Zone: ident.ZoneID(i.Zone), Peer: i.Address})
+		if i.Leaving {
+			r.router.Leaving = true
+		}
+	}
+	c.changed = true
+}
+
+func (c *Control) meet(now time.Time, known fleet.Router) *router {
+	r, ok := c.routers[known.ID]
+	if !ok {
+		r = &router{router: known, met: now}
+		c.routers[known.ID] = r
+	}
+	return r
+}
+
+// age forgets routers that are long dead, and folds their evidence.
+func (c *Control) age(now time.Time) {
+	for id, r := range c.routers {
+		_, listed := c.listed[id]
+		if r.live(now) || now.Sub(later(r.heard, r.met)) < forgetAfter || listed {
+			continue
+		}
+		delete(c.routers, id)
+	}
+	for _, e := range c.endpoints {
+		e.pass(now)
+	}
+}
+
+// live tells whether a router is taken to be alive.
+func (r *router) live(now time.Time) bool {
+	return !r.heard.IsZero() && now.Sub(r.heard) <= heardFor
+}
+
+// peers gives the peers worth a heartbeat, sorted by id: live ones, and those
+// that are listed but silent.
+func (c *Control) peers() []*router {
+	peers := make([]*router, 0, len(c.routers))
+	for _, r := range c.routers {
+		peers = append(peers, r)
+	}
+	sort.Slice(peers, func(i, j int) bool { return peers[i].router.ID < peers[j].router.ID })
+	return peers
+}
+
+// liveRouters gives the live routers with this one, sorted by id.
+func (c *Control) liveRouters(now time.Time) []fleet.Router {
+	live := []fleet.Router{c.self}
+	for _, r := range c.routers {
+		if r.live(now) {
+			live = append(live, r.router)
+		}
+	}
+	sort.Slice(live, func(i, j int) bool { return live[i].ID < live[j].ID })
+	return live
+}
+
+// relay tells whether this router reads the platform for its zone: it is the
+// first of the zone's live routers.
+func (c *Control) relay() bool {
+	for _, r := range c.routers {
+		if r.router.Zone == c.self.Zone && r.router.ID < c.self.ID && !r.heard.IsZero() && !r.router.Leaving && r.platform {
+			return false
+		}
+	}
+	return true
+}
+
+// heard gives the newest time at which any peer was heard.
+func (c *Control) heard() time.Time {
+	var newest time.Time
+	for _, r := range c.routers {
+		newest = later(newest, r.heard)
+	}
+	return newest
+}
+
+// synced tells whether the evidence of every live peer has been merged.
+func (c *Control) synced(now time.Time) bool {
+	if now.Sub(c.started) < heardFor {
+		return false
+	}
+	for _, r := range c.routers {
+		if now.Sub(r.met) < listedFor && r.heard.IsZero() {
+			return false
+		}
+	}
+	return true
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/internal/ctrl/view.go
+++ b/internal/ctrl/view.go
@@ -2,19 +2,28 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"github.com/marigoldscale/marigoldscale/internal/casc"
 	"github.com/marigoldscale/marigoldscale/internal/fleet"
+	"github.com/marigoldscale/marigoldscale/internal/gossip"
+	"github.com/marigoldscale/marigoldscale/internal/plat"
 	"github.com/marigoldscale/marigoldscale/internal/roll"
 	"github.com/marigoldscale/marigoldscale/pkg/ident"
 )
 
+// viewLife is the age at which a view is too old to begin new work on. It is
+// many times the interval between views, and short of every fleet-wide bound.
+const viewLife = 2 * time.Second
+
 // View is what the control thread publishes for the traffic threads. It is
 // immutable but for the quotas, which count down as sessions are assigned.
 type View struct {
 	*fleet.Snapshot
 	Quotas    map[ident.ModelID]*Quota
+	Stewards  map[ident.ZoneID]ident.RouterID // to ask for permits; "" for none known
 	Estimates *casc.Estimates
+	Relay     bool // this router reads the platform for its zone
 }
 
 // Quota is how many more sessions this router may expose to a version under
@@ -50,3 +59,106 @@
 	}
 	return roll.Quota{Limited: q.Limited, Left: q.Left()}
 }
+
+// View gives what traffic threads work with, or nil if nothing changed since
+// the last call.
+func (c *Control) View(now time.Time) *View {
+	if !c.changed || c.config == nil {
+		return nil
+	}
+	c.changed = false
+	v := &View{
+		Snapshot: &fleet.Snapshot{
+			Self:      c.self,
+			Config:    c.config,
+			Confirmed: c.confirmed,
+			Serving:   c.serving(now),
+			Until:     now.Add(viewLife),
+			Stopping:  c.stopping,
+			Endpoints: make(map[ident.EndpointID]*fleet.Endpoint, len(c.endpoints)),
+			Rollouts:  make(map[ident.ModelID]fleet.RolloutState, len(c.rollouts)),
+			Withdrawn: make(map[ident.Release]fleet.Withdrawal, len(c.withdrawn)),
+			Routers:   c.liveRouters(now),
+			Poison:    c.deaths.Suspicions(now),
+		},
+		Quotas:    map[ident.ModelID]*Quota{},
+		Stewards:  map[ident.ZoneID]ident.RouterID{},
+		Estimates: c.estimates.Clone(),
+		Relay:     c.relay(),
+	}
+	c.fill(now, v)
+	return v
+}
+
+func (c *Control) fill(now time.Time, v *View) {
+	for id, e := range c.endpoints {
+		v.Endpoints[id] = e.show()
+	}
+	for model, r := range c.rollouts {
+		v.Rollouts[model] = r.State
+	}
+	for release, w := range c.withdrawn {
+		v.Withdrawn[release] = w
+	}
+	for model, rollout := range c.config.Rollouts {
+		state, ok := c.rollouts[model]
+		if !ok || state.State.To != rollout.To {
+			continue
+		}
+		q := c.quota(now, rollout, state.State)
+		v.Quotas[model] = NewQuota(q.Limited, q.Left)
+	}
+	for _, zone := range c.zones() {
+		v.Stewards[zone] = c.stewardOf(now, zone)
+	}
+}
+
+func (e *endpoint) show() *fleet.Endpoint {
+	phase := e.phase.Phase()
+	if !e.match {
+		phase = fleet.PhaseDown
+	}
+	return &fleet.Endpoint{
+		Spec:     e.spec,
+		Phase:    phase,
+		Report:   e.report,
+		Reported: e.reported,
+		Leaving:  e.leaving || e.listedLeaving,
+	}
+}
+
+// serving tells whether this router may take new requests: it has a
+// configuration that was confirmed as current, and is not cut off from
+// everyone who could tell of a newer one.
+func (c *Control) serving(now time.Time) bool {
+	if c.config == nil || c.stopping || c.confirmed.IsZero() {
+		return false
+	}
+	return gossip.Fresh(now, c.confirmed, c.heard(), len(c.routers)) != gossip.StandingAlone
+}
+
+// RouterIDs gives the live routers that are not leaving, this one included,
+// sorted.
+func (v *View) RouterIDs() []ident.RouterID {
+	ids := make([]ident.RouterID, 0, len(v.Routers))
+	for _, r := range v.Routers {
+		if !r.Leaving {
+			ids = append(ids, r.ID)
+		}
+	}
+	return ids
+}
+
+// Addresses gives the peer addresses of all routers known, live or not.
+func (c *Control) Addresses() []string {
+	addresses := make([]string, 0, len(c.routers))
+	for _, r := range c.routers {
+		addresses = append(addresses, r.router.Peer)
+	}
+	return addresses
+}
+
+// Head gives the head of the configuration in force.
+func (c *Control) Head() plat.Head {
+	return c.head
+}
--- /dev/null
+++ b/internal/ctrl/withdraw.go
@@ -0,0 +1,54 @@
+package ctrl
+
+import (
+	"sort"
+	"time"
+
+	"github.com/marigoldscale/marigoldscale/internal/fleet"
+	"github.com/marigoldscale/marigoldscale/internal/plat"
+)
+
+// withdraw takes a release out of service for good, and spreads the word at
+// once. It waits for no platform.
+func (c *Control) withdraw(_ time.Time, w fleet.Withdrawal) []Action {
+	if _, known := c.withdrawn[w.Release]; known {
+		return nil
+	}
+	c.withdrawn[w.Release] = w
+	c.changed = true
+	actions := []Action{Note{Message: "release withdrawn", Release: w.Release, Reason: w.Reason}}
+	actions = append(actions, c.urgent()...)
+	return append(actions, c.putWithdrawn()...)
+}
+
+// mergeWithdrawn takes in the platform's withdrawals, and writes back those
+// that it lacks.
+func (c *Control) mergeWithdrawn(now time.Time, e Withdrawn) []Action {
+	var actions []Action
+	if e.Version >= c.withdrawnV {
+		c.withdrawnV = e.Version
+		for _, w := range e.List {
+			c.stored[w.Release] = true
+		}
+	}
+	for _, w := range e.List {
+		actions = append(actions, c.withdraw(now, w)...)
+	}
+	return append(actions, c.putWithdrawn()...)
+}
+
+// putWithdrawn writes all withdrawals if the platform lacks some.
+func (c *Control) putWithdrawn() []Action {
+	missing := false
+	list := make([]fleet.Withdrawal, 0, len(c.withdrawn))
+	for release, w := range c.withdrawn {
+		missing = missing || !c.stored[release]
+		list = append(list, w)
+	}
+	if !missing || c.writing[plat.WithdrawnKey] || !c.platform.reachable {
+		return nil
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Release.String() < list[j].Release.String() })
+	c.writing[plat.WithdrawnKey] = true
+	return []Action{PutWithdrawn{List: list, Expect: c.withdrawnV}}
+}
--- a/internal/fleet/snapshot.go
+++ b/internal/fleet/snapshot.go
@@ -15,6 +15,7 @@
 	Config    *Config
 	Confirmed time.Time // newest time at which anyone confirmed Config as current
 	Serving   bool      // whether this router may take new requests
+	Until     time.Time // when the snapshot is too old to begin new work on
 	Stopping  bool      // whether a graceful shutdown has begun
 	Endpoints map[ident.EndpointID]*Endpoint
 	Rollouts  map[ident.ModelID]RolloutState
@@ -89,6 +90,12 @@
 	SuspicionRefused           // must never run again
 )
 
+// Ready tells whether new requests may be taken on this snapshot. A router that
+// was frozen finds its snapshot too old.
+func (s *Snapshot) Ready(now time.Time) bool {
+	return s.Serving && now.Before(s.Until)
+}
+
 // Allowed tells whether new work may go to the release at all.
 func (s *Snapshot) Allowed(release ident.Release) bool {
 	if _, withdrawn := s.Withdrawn[release]; withdrawn {
--- a/internal/front/chat.go
+++ b/internal/front/chat.go
@@ -48,7 +48,7 @@
 // admit takes the newest snapshot and the caller's team.
 func (f *Front) admit(c echo.Context) (*fleet.Snapshot, *fleet.Team, error) {
 	snapshot := f.snapshot()
-	if snapshot == nil || !snapshot.Serving {
+	if snapshot == nil || !snapshot.Ready(f.now()) {
 		return nil, nil, notReady()
 	}
 	team, err := authenticate(c.Request().Header, snapshot.Config)
--- a/internal/plat/plat.go
+++ b/internal/plat/plat.go
@@ -92,14 +92,15 @@
 
 // The keys under which marigoldscale keeps its objects.
 const (
+	ConfigPrefix  Key = "config/" // all that routers read and watch together
 	HeadKey       Key = "config/head"
-	PartPrefix    Key = "config/part/" // + digest
-	JournalPrefix Key = "journal/"     // + shard / sequence
-	RolloutPrefix Key = "rollout/"     // + model
-	WithdrawnKey  Key = "withdrawn"    // all withdrawals made by routers or by hand
-	StewardPrefix Key = "steward/"     // + zone
-	StatusPrefix  Key = "status/"      // + router
-	OrderPrefix   Key = "order/"       // + endpoint
+	PartPrefix    Key = "part/"            // + digest
+	JournalPrefix Key = "journal/"         // + shard / sequence
+	RolloutPrefix Key = "config/rollout/"  // + model
+	WithdrawnKey  Key = "config/withdrawn" // all withdrawals made by routers or by hand
+	StewardPrefix Key = "steward/"         // + zone
+	StatusPrefix  Key = "status/"          // + router
+	OrderPrefix   Key = "order/"           // + endpoint
 )
 
 // Head names the configuration in force. It is the value at HeadKey, as JSON.
--- a/internal/serve/place.go
+++ b/internal/serve/place.go
@@ -21,6 +21,8 @@
 	permitTimeout = time.Second
 	// permitPause is when to ask again after a permit was denied.
 	permitPause = 100 * time.Millisecond
+	// viewPause is when to look again for a view that is not too old.
+	viewPause = 50 * time.Millisecond
 	// barrenPause is when to come back if no endpoint serves a release.
 	barrenPause = 2 * time.Second
 )
@@ -61,10 +63,13 @@
 func (r *run) place(ctx context.Context, a flow.Place) []flow.Event {
 	r.view = r.server.View()
 	r.bound = a.Release
+	now := r.server.Now()
+	if !now.Before(r.view.Until) {
+		return []flow.Event{flow.Full{After: viewPause}}
+	}
 	if r.request.Service == "" && !r.view.Allowed(a.Release) {
 		return []flow.Event{flow.Barren{Withdrawn: true}}
 	}
-	now := r.server.Now()
 	choice := route.Choose(now, r.view.Snapshot, route.Request{
 		Release:  a.Release,
 		Service:  r.request.Service,
