--- a/internal/shard/batch.go
+++ b/internal/shard/batch.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+
+	"github.com/marigoldscale/marigoldscale/internal/plat"
 )
 
 // Sequence numbers the batches of a shard's log, from 1.
@@ -11,7 +13,8 @@
 // Batch is one committed group of records, the unit of a conditional write.
 type Batch struct {
 	Sequence Sequence
-	Nonce    Nonce // names the write
+	Nonce    Nonce        // names the write
+	Base     plat.Version // of the manifest that a part was written to follow
 	Records  []Record
 }
 
@@ -19,6 +22,7 @@
 type wireBatch struct {
 	Sequence Sequence     `json:"sequence"`
 	Nonce    Nonce        `json:"nonce"`
+	Base     plat.Version `json:"base,omitempty"`
 	Records  []wireRecord `json:"records"`
 }
 
@@ -60,6 +64,17 @@
 	return w.unwrap()
 }
 
+// encodeChecked encodes a record and fails if it can't be decoded again, as it
+// would then stop every later reader of the shard.
+func encodeChecked(record Record) ([]byte, error) {
+	text, err := EncodeRecord(record)
+	if err != nil {
+		return nil, err
+	}
+	_, err = DecodeRecord(text)
+	return text, err
+}
+
 // EncodeResult gives the result's form on peer links.
 func EncodeResult(result Result) ([]byte, error) {
 	text, err := json.Marshal(wrapResult(result))
@@ -78,34 +93,6 @@
 	return w.unwrap()
 }
 
-func encodeBatch(b Batch) ([]byte, error) {
-	w := wireBatch{Sequence: b.Sequence, Nonce: b.Nonce}
-	for _, r := range b.Records {
-		w.Records = append(w.Records, wrapRecord(r))
-	}
-	text, err := json.Marshal(w)
-	if err != nil {
-		return nil, fmt.Errorf("encode batch %d: %w", b.Sequence, err)
-	}
-	return text, nil
-}
-
-func decodeBatch(text []byte) (Batch, error) {
-	var w wireBatch
-	if err := json.Unmarshal(text, &w); err != nil {
-		return Batch{}, fmt.Errorf("decode batch: %w", err)
-	}
-	b := Batch{Sequence: w.Sequence, Nonce: w.Nonce}
-	for _, r := range w.Records {
-		record, err := r.unwrap()
-		if err != nil {
-			return Batch{}, fmt.Errorf("batch %d: %w", w.Sequence, err)
-		}
-		b.Records = append(b.Records, record)
-	}
-	return b, nil
-}
-
 func wrapRecord(record Record) wireRecord {
 	switch r := record.(type) {
 	case Claim:
--- /dev/null
+++ b/internal/shard/queue.go
@@ -0,0 +1,154 @@
+package shard
+
+import "time"
+
+// proposal is a record that is not answered or not durable yet.
+type proposal struct {
+	ticket  Ticket
+	record  Record
+	text    []byte
+	keep    bool
+	quiet   bool // answered with Queued or abandoned
+	flying  bool // is part of the outstanding write
+	written bool // was part of a write whose outcome is not known
+	asked   bool // waited when the outstanding call was made
+}
+
+func (l *Log) propose(now time.Time, e Propose) {
+	if result, ok := l.decide(e.Record); ok && final(result) {
+		l.reply(e.Ticket, result)
+		return
+	}
+	text, err := encodeChecked(e.Record)
+	claim := isClaim(e.Record)
+	limit := l.settings.Queue
+	if claim {
+		limit /= 2
+	}
+	if err != nil || len(l.queue) >= limit {
+		l.counts.Full++
+		l.reply(e.Ticket, Unavailable{After: l.settings.Retry, Full: true})
+		return
+	}
+	l.queue = append(l.queue, proposal{ticket: e.Ticket, record: e.Record, text: text, keep: e.Keep})
+	if now.Before(l.away) {
+		l.refuse(now)
+	}
+}
+
+func (l *Log) abandon(now time.Time, ticket Ticket) {
+	for i, p := range l.queue {
+		if p.quiet || p.ticket != ticket {
+			continue
+		}
+		if !isClaim(p.record) && p.keep {
+			l.queue[i].quiet = true
+			l.reply(ticket, Queued{})
+			return
+		}
+		l.queue = append(l.queue[:i:i], l.queue[i+1:]...)
+		l.reply(ticket, Unavailable{After: retryAfter(now, l.away), Written: p.written || p.flying})
+		return
+	}
+}
+
+// settle answers the proposals that the state decides. A claim that is taken
+// without an outcome is answered only once the state is known to be current.
+func (l *Log) settle(current bool) {
+	rest := l.queue[:0:0]
+	for _, p := range l.queue {
+		result, ok := l.decide(p.record)
+		if ok && (final(result) || current && p.asked) {
+			if !p.quiet {
+				l.reply(p.ticket, result)
+			}
+			continue
+		}
+		rest = append(rest, p)
+	}
+	l.queue = rest
+}
+
+// gather makes the next batch of the records that the state does not decide.
+func (l *Log) gather() (Batch, []byte) {
+	batch := Batch{Sequence: l.next, Nonce: l.nonce()}
+	var texts [][]byte
+	size := 0
+	for i := range l.queue {
+		p := &l.queue[i]
+		if _, decided := l.decide(p.record); decided {
+			continue
+		}
+		size += len(p.text) + 1
+		if len(batch.Records) == l.settings.Batch || len(texts) > 0 && size > l.settings.Bytes {
+			break
+		}
+		p.flying = true
+		batch.Records = append(batch.Records, p.record)
+		texts = append(texts, p.text)
+	}
+	return batch, joinBatch(batch, texts)
+}
+
+// waiting tells whether a proposal needs to know that the state is current.
+func (l *Log) waiting() bool {
+	for _, p := range l.queue {
+		if _, decided := l.decide(p.record); decided {
+			return true
+		}
+	}
+	return false
+}
+
+// refuse answers all that can't wait for the platform to come back.
+func (l *Log) refuse(now time.Time) {
+	after := retryAfter(now, l.away)
+	rest := l.queue[:0:0]
+	for _, p := range l.queue {
+		result, decided := l.decide(p.record)
+		keep := p.keep && !isClaim(p.record)
+		switch {
+		case p.quiet:
+		case decided:
+			l.reply(p.ticket, result)
+			continue
+		case keep:
+			l.reply(p.ticket, Queued{})
+		default:
+			l.counts.Refused++
+			l.reply(p.ticket, Unavailable{After: after, Written: p.written || p.flying})
+		}
+		if keep {
+			p.quiet = true
+			rest = append(rest, p)
+		}
+	}
+	l.queue = rest
+}
+
+func (l *Log) decide(record Record) (Result, bool) {
+	if !l.loaded {
+		return nil, false
+	}
+	return l.state.Decide(record)
+}
+
+// final tells whether a later record can't change the result.
+func final(result Result) bool {
+	taken, ok := result.(Taken)
+	return !ok || taken.Outcome != nil
+}
+
+func isClaim(record Record) bool {
+	_, ok := record.(Claim)
+	return ok
+}
+
+// landed notes the end of the outstanding write for the records in it.
+func (l *Log) landed(uncertain bool) {
+	for i := range l.queue {
+		p := &l.queue[i]
+		p.written = p.written || p.flying && uncertain
+		p.flying = false
+	}
+}
--- a/internal/shard/record.go
+++ b/internal/shard/record.go
@@ -47,7 +47,7 @@
 // Bill charges a team for a request. The first bill of a key counts.
 type Bill struct {
 	Key      ident.RequestKey `json:"key"`
-	Release  ident.Release    `json:"release"`
+	Release  ident.Release    `json:"release,omitzero"`
 	Service  ident.ServiceID  `json:"service,omitempty"`
 	Prompt   ident.Tokens     `json:"prompt,omitempty"`
 	Answer   ident.Tokens     `json:"answer,omitempty"`
--- a/internal/shard/result.go
+++ b/internal/shard/result.go
@@ -36,10 +36,13 @@
 }
 
 // Unavailable means that the record was not taken in, and After is the time
-// to come back in. For a claim it means that this proposal never becomes a
-// claim that holds. It does not say that no earlier claim of the key exists.
+// to come back in. With Written a claim may be in the journal all the same,
+// and its proposer must release it. It does not say that no other claim of the
+// key exists. With Full the queue was full, and no other router should try.
 type Unavailable struct {
-	After time.Duration `json:"after"`
+	After   time.Duration `json:"after"`
+	Full    bool          `json:"full,omitempty"`
+	Written bool          `json:"written,omitempty"`
 }
 
 // Queued means that the record waits in memory until the platform is back.
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -1,6 +1,9 @@
 package shard
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/marigoldscale/marigoldscale/pkg/ident"
@@ -9,7 +12,7 @@
 // State is the fold of a shard's records.
 type State struct {
 	claims   map[ident.RequestKey]entry
-	released map[Nonce]time.Time
+	released map[Nonce]Release
 	bills    map[ident.RequestKey]Bill
 	binds    map[bindKey]Bind
 	doubled  int
@@ -18,7 +21,8 @@
 // entry is a claim with its outcome, once there is one.
 type entry struct {
 	claim   Claim
-	outcome *Outcome
+	outcome Outcome
+	done    bool // outcome is set
 }
 
 // bindKey identifies a binding: a session may use several models.
@@ -31,7 +35,7 @@
 func NewState() *State {
 	return &State{
 		claims:   map[ident.RequestKey]entry{},
-		released: map[Nonce]time.Time{},
+		released: map[Nonce]Release{},
 		bills:    map[ident.RequestKey]Bill{},
 		binds:    map[bindKey]Bind{},
 	}
@@ -53,7 +57,7 @@
 		return s.decideClaim(r)
 	case Outcome:
 		e, ok := s.claims[r.Key]
-		return Durable{}, ok && e.outcome != nil
+		return Durable{}, ok && e.done
 	case Release:
 		_, ok := s.released[r.Nonce]
 		return Durable{}, ok
@@ -73,6 +77,59 @@
 	return s.doubled
 }
 
+// Expire drops the claims, releases and bindings that are too old to be kept.
+func (s *State) Expire(now time.Time, settings Settings) {
+	maps.DeleteFunc(s.claims, func(_ ident.RequestKey, e entry) bool {
+		return now.Sub(e.at()) > settings.Claims
+	})
+	maps.DeleteFunc(s.released, func(_ Nonce, r Release) bool {
+		return now.Sub(r.At) > settings.Claims
+	})
+	maps.DeleteFunc(s.binds, func(_ bindKey, b Bind) bool {
+		return now.Sub(b.At) > settings.Sessions
+	})
+}
+
+// Records gives records whose fold is this state, bills left out.
+func (s *State) Records() []Record {
+	var records []Record
+	for _, r := range s.released {
+		records = append(records, r)
+	}
+	for _, e := range s.claims {
+		if e.claim.Nonce != "" {
+			records = append(records, e.claim)
+		}
+		if e.done {
+			records = append(records, e.outcome)
+		}
+	}
+	for _, b := range s.binds {
+		b.Was = ""
+		records = append(records, b)
+	}
+	slices.SortStableFunc(records, func(a, b Record) int {
+		return cmp.Compare(routingKey(a), routingKey(b))
+	})
+	return records
+}
+
+// forgetBills drops the bills of a batch that now stand in bill segments.
+func (s *State) forgetBills(batch Batch) {
+	for _, r := range batch.Records {
+		if b, ok := r.(Bill); ok {
+			delete(s.bills, b.Key)
+		}
+	}
+}
+
+func (e entry) at() time.Time {
+	if e.done {
+		return e.outcome.At
+	}
+	return e.claim.At
+}
+
 func (s *State) decideClaim(c Claim) (Result, bool) {
 	if _, ok := s.released[c.Nonce]; ok {
 		return Released{}, true
@@ -84,7 +141,11 @@
 	if e.claim.Nonce == c.Nonce {
 		return Granted{}, true
 	}
-	return Taken{By: e.claim, Outcome: e.outcome}, true
+	if !e.done {
+		return Taken{By: e.claim}, true
+	}
+	outcome := e.outcome
+	return Taken{By: e.claim, Outcome: &outcome}, true
 }
 
 func (s *State) apply(record Record) {
@@ -113,16 +174,16 @@
 
 func (s *State) applyOutcome(o Outcome) {
 	e := s.claims[o.Key]
-	if e.outcome == nil {
-		e.outcome = &o
+	if !e.done {
+		e.outcome, e.done = o, true
 		s.claims[o.Key] = e
 	}
 }
 
 func (s *State) applyRelease(r Release) {
-	s.released[r.Nonce] = r.At
+	s.released[r.Nonce] = r
 	e, ok := s.claims[r.Key]
-	if ok && e.claim.Nonce == r.Nonce && e.outcome == nil {
+	if ok && e.claim.Nonce == r.Nonce && !e.done {
 		delete(s.claims, r.Key)
 	}
 }
