--- /dev/null
+++ b/internal/cmd/cmd_bills.go
@@ -0,0 +1,133 @@
+package cmd
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/marigoldscale/marigoldscale/internal/plat"
+	"github.com/marigoldscale/marigoldscale/internal/shard"
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+const statusClass = plat.ClassStatus
+
+// Bills adds up the bills of the journal.
+type Bills struct {
+	Team  string    `help:"Only this team's bills."`
+	Since time.Time `help:"Only bills at or after this time." placeholder:"RFC3339"`
+	Until time.Time `help:"Only bills before this time." placeholder:"RFC3339"`
+	Each  bool      `help:"List each bill instead of the sums."`
+}
+
+// total is a team's bill for one release or service.
+type total struct {
+	Team     ident.TeamID `json:"team"`
+	Item     string       `json:"item"` // model@version, or the service
+	Requests int          `json:"requests"`
+	Prompt   ident.Tokens `json:"prompt"`
+	Answer   ident.Tokens `json:"answer"`
+	Cost     ident.Micros `json:"cost"`
+}
+
+// Help shows examples.
+func (Bills) Help() string {
+	return `Reads the journal on the platform. A request has one bill, however often it was
+tried, hedged or resumed. In an outage of the platform the last bills wait in the
+routers, and show up here once it is back.
+
+Examples:
+  marigoldscale bills
+  marigoldscale bills --team ledger --since 2026-11-01T00:00:00Z
+  marigoldscale bills --each --json`
+}
+
+// Run adds up the bills.
+func (c *Bills) Run(r *Run) error {
+	platform, err := r.platform()
+	if err != nil {
+		return err
+	}
+	all, err := r.Bills(r.ctx, platform)
+	if err != nil {
+		return fmt.Errorf("bills: %w", err)
+	}
+	bills := c.chosen(all)
+	if c.Each {
+		return r.printBills(bills)
+	}
+	totals := addUp(bills)
+	if r.flags.JSON {
+		return r.printJSON(totals)
+	}
+	t := newTable("", "TEAM", "ITEM", "REQUESTS", "PROMPT", "ANSWER", "COST")
+	for _, sum := range totals {
+		t.add(string(sum.Team), sum.Item, fmt.Sprint(sum.Requests), fmt.Sprint(sum.Prompt), fmt.Sprint(sum.Answer), money(sum.Cost))
+	}
+	return r.printTables(t)
+}
+
+func (c *Bills) chosen(all []shard.Bill) []shard.Bill {
+	chosen := []shard.Bill{}
+	for _, b := range all {
+		other := c.Team != "" && b.Key.Team != ident.TeamID(c.Team)
+		early := !c.Since.IsZero() && b.At.Before(c.Since)
+		late := !c.Until.IsZero() && !b.At.Before(c.Until)
+		if !other && !early && !late {
+			chosen = append(chosen, b)
+		}
+	}
+	sort.SliceStable(chosen, func(i, j int) bool { return chosen[i].At.Before(chosen[j].At) })
+	return chosen
+}
+
+func (r *Run) printBills(bills []shard.Bill) error {
+	if r.flags.JSON {
+		return r.printJSON(bills)
+	}
+	t := newTable("", "WHEN", "TEAM", "REQUEST", "ITEM", "PROMPT", "ANSWER", "COST", "ATTEMPTS")
+	for _, b := range bills {
+		t.add(b.At.UTC().Format(time.RFC3339), string(b.Key.Team), string(b.Key.Request), item(b),
+			fmt.Sprint(b.Prompt), fmt.Sprint(b.Answer), money(b.Cost), fmt.Sprint(b.Attempts))
+	}
+	return r.printTables(t)
+}
+
+// addUp gives the sums by team and item, sorted.
+func addUp(bills []shard.Bill) []total {
+	type line struct {
+		team ident.TeamID
+		item string
+	}
+	sums := map[line]*total{}
+	for _, b := range bills {
+		key := line{team: b.Key.Team, item: item(b)}
+		sum := sums[key]
+		if sum == nil {
+			sum = &total{Team: key.team, Item: key.item}
+			sums[key] = sum
+		}
+		sum.Requests++
+		sum.Prompt += b.Prompt
+		sum.Answer += b.Answer
+		sum.Cost += b.Cost
+	}
+	totals := make([]total, 0, len(sums))
+	for _, sum := range sums {
+		totals = append(totals, *sum)
+	}
+	sort.Slice(totals, func(i, j int) bool {
+		if totals[i].Team != totals[j].Team {
+			return totals[i].Team < totals[j].Team
+		}
+		return totals[i].Item < totals[j].Item
+	})
+	return totals
+}
+
+func item(b shard.Bill) string {
+	if b.Service != "" {
+		return string(b.Service)
+	}
+	return b.Release.String()
+}
--- /dev/null
+++ b/internal/cmd/cmd_check.go
@@ -0,0 +1,82 @@
+package cmd
+
+import (
+	"fmt"
+
+	"github.com/marigoldscale/marigoldscale/internal/config"
+)
+
+// Check checks a tree of files without reaching anything.
+type Check struct {
+	Dir string `arg:"" optional:"" default:"." help:"Top of the tree." type:"path"`
+}
+
+// checked is the result of Check.
+type checked struct {
+	Files     []string `json:"files"`
+	Digest    string   `json:"digest"`
+	Teams     int      `json:"teams"`
+	Models    int      `json:"models"`
+	Services  int      `json:"services"`
+	Rollouts  int      `json:"rollouts"`
+	Zones     int      `json:"zones"`
+	Endpoints int      `json:"endpoints"`
+}
+
+// Help shows examples.
+func (Check) Help() string {
+	return `Reads every marigoldscale.toml and *.marigold.toml of the tree and reports all
+problems at once, each as file:line: key: what; accepted: what would be.
+
+Examples:
+  marigoldscale check
+  marigoldscale check services/ && marigoldscale publish services/`
+}
+
+// Run checks the tree.
+func (c *Check) Run(r *Run) error {
+	files, err := collect(c.Dir)
+	if err != nil {
+		return err
+	}
+	compiled, problems := config.Load(files)
+	if err := problems.Err(); err != nil {
+		return badInput(err)
+	}
+	result := checked{
+		Files:     paths(files),
+		Digest:    compiled.Digest,
+		Teams:     len(compiled.Teams),
+		Models:    len(compiled.Models),
+		Services:  len(compiled.Services),
+		Rollouts:  len(compiled.Rollouts),
+		Zones:     len(compiled.Zones),
+		Endpoints: len(compiled.Endpoints),
+	}
+	if r.flags.JSON {
+		return r.printJSON(result)
+	}
+	fmt.Fprintf(r.Out, "%d files are sound: %d teams, %d models, %d services, %d roll-outs, %d zones, %d endpoints\n",
+		len(files), result.Teams, result.Models, result.Services, result.Rollouts, result.Zones, result.Endpoints)
+	return nil
+}
+
+// collect reads a tree, and refuses one without any file.
+func collect(dir string) ([]config.File, error) {
+	files, err := config.Collect(dir)
+	if err != nil {
+		return nil, badInput(err)
+	}
+	if len(files) == 0 {
+		return nil, badInput(fmt.Errorf("no marigoldscale.toml or *.marigold.toml under %q", dir))
+	}
+	return files, nil
+}
+
+func paths(files []config.File) []string {
+	all := make([]string, len(files))
+	for i, f := range files {
+		all[i] = f.Path
+	}
+	return all
+}
--- /dev/null
+++ b/internal/cmd/cmd_explain.go
@@ -0,0 +1,64 @@
+package cmd
+
+import (
+	"fmt"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"github.com/marigoldscale/marigoldscale/internal/status"
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+// Explain shows what would become of a request.
+type Explain struct {
+	Team    string `required:"" help:"Team that asks."`
+	Model   string `help:"Model asked for." xor:"target"`
+	Service string `help:"Plain service asked for." xor:"target"`
+	Class   string `help:"Request class."`
+	Session string `help:"Session that the request belongs to."`
+}
+
+// Help shows examples.
+func (Explain) Help() string {
+	return `Asks one router what it would do with such a request now, and why it would not
+take each other choice. Nothing runs.
+
+Examples:
+  marigoldscale explain --team ledger --model condor
+  marigoldscale explain --team ledger --model condor --class statement --session 81f0
+  marigoldscale explain --team clinic --service booking`
+}
+
+// Run explains the choice.
+func (c *Explain) Run(r *Run) error {
+	if c.Model == "" && c.Service == "" {
+		return badInput(errors.New("neither --model nor --service is given"))
+	}
+	request := status.ExplainRequest{
+		Team:    ident.TeamID(c.Team),
+		Model:   ident.ModelID(c.Model),
+		Class:   ident.ClassID(c.Class),
+		Session: ident.SessionID(c.Session),
+		Service: ident.ServiceID(c.Service),
+	}
+	var answer status.Explanation
+	if err := r.askAny(http.MethodPost, "/v1/explain", request, &answer); err != nil {
+		return fmt.Errorf("explain: %w", err)
+	}
+	if r.flags.JSON {
+		return r.printJSON(answer)
+	}
+	if answer.Chosen == nil {
+		fmt.Fprintf(r.Out, "refused: %s\n\n", answer.Refusal)
+	}
+	t := newTable("", "VERDICT", "RUNS", "ENDPOINT", "ZONE", "REASON")
+	for _, choice := range answer.Choices {
+		runs := choice.Release
+		if runs == "" {
+			runs = string(choice.Service)
+		}
+		t.add(string(choice.Verdict), runs, string(choice.Endpoint), string(choice.Zone), choice.Reason)
+	}
+	return r.printTables(t)
+}
--- /dev/null
+++ b/internal/cmd/cmd_rollout.go
@@ -0,0 +1,85 @@
+package cmd
+
+import (
+	"github.com/marigoldscale/marigoldscale/internal/config"
+	"github.com/marigoldscale/marigoldscale/internal/publsh"
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+// Rollout changes the roll-out of a model.
+type Rollout struct {
+	Start  RolloutStart  `cmd:"" help:"Start the roll-out of a version."`
+	Pause  RolloutPause  `cmd:"" help:"Keep a roll-out at its present step."`
+	Resume RolloutResume `cmd:"" help:"Let a paused or aborted roll-out go on."`
+	Abort  RolloutAbort  `cmd:"" help:"Send no new sessions to the new version."`
+}
+
+// Help shows examples.
+func (Rollout) Help() string {
+	return `Each command changes one key of the overlay file operator/overlay.toml in the
+configuration in force; the operators' own files need no edit.
+
+Examples:
+  marigoldscale rollout start condor@v4
+  marigoldscale rollout pause condor
+  marigoldscale rollout resume condor
+  marigoldscale rollout abort condor`
+}
+
+// RolloutStart starts a roll-out, with the steps of the model's rollout
+// table or, without one, the standard steps.
+type RolloutStart struct {
+	Release string `arg:"" help:"Version to roll out, as model@version."`
+	WaitFlag
+}
+
+// Run starts the roll-out.
+func (c *RolloutStart) Run(r *Run) error {
+	release, err := ident.ParseRelease(c.Release)
+	if err != nil {
+		return badInput(err)
+	}
+	settings := []config.Setting{config.Start(release), config.Hold(release.Model, config.HoldNone)}
+	return r.forceAndPrint(publsh.Edit{Settings: settings}, 0, c.WaitFlag)
+}
+
+// RolloutPause pauses a roll-out.
+type RolloutPause struct {
+	RolloutArg
+}
+
+// Run pauses the roll-out.
+func (c *RolloutPause) Run(r *Run) error {
+	return c.hold(r, config.HoldPaused)
+}
+
+// RolloutResume resumes a roll-out.
+type RolloutResume struct {
+	RolloutArg
+}
+
+// Run resumes the roll-out.
+func (c *RolloutResume) Run(r *Run) error {
+	return c.hold(r, config.HoldNone)
+}
+
+// RolloutAbort aborts a roll-out.
+type RolloutAbort struct {
+	RolloutArg
+}
+
+// Run aborts the roll-out.
+func (c *RolloutAbort) Run(r *Run) error {
+	return c.hold(r, config.HoldAborted)
+}
+
+// RolloutArg names the model whose roll-out is meant.
+type RolloutArg struct {
+	Model string `arg:"" help:"Model whose roll-out is meant."`
+	WaitFlag
+}
+
+func (a RolloutArg) hold(r *Run, word string) error {
+	setting := config.Hold(ident.ModelID(a.Model), word)
+	return r.forceAndPrint(publsh.Edit{Settings: []config.Setting{setting}}, 0, a.WaitFlag)
+}
--- /dev/null
+++ b/internal/cmd/cmd_status.go
@@ -0,0 +1,92 @@
+package cmd
+
+import (
+	"fmt"
+
+	"github.com/marigoldscale/marigoldscale/internal/status"
+)
+
+// Status shows the fleet as the routers see it.
+type Status struct{}
+
+// Help shows examples.
+func (Status) Help() string {
+	return `Asks every router named by --admin. A router's own entry goes before what others
+last heard of it.
+
+Examples:
+  marigoldscale status --admin http://10.1.0.4:9100
+  marigoldscale status --json | jq '.routers[] | select(.serving | not) | .id'`
+}
+
+// Run shows the status.
+func (c *Status) Run(r *Run) error {
+	if err := r.needAdmin(); err != nil {
+		return err
+	}
+	views, err := r.views(r.ctx)
+	if err != nil {
+		return err
+	}
+	view := views[0]
+	view.Routers = merge(views)
+	if r.flags.JSON {
+		return r.printJSON(view)
+	}
+	fmt.Fprintf(r.Out, "as %s sees it; platform %s\n\n", view.Self, r.platformLine(view.Platform))
+	return r.printTables(r.routerTable(view), endpointTable(view), zoneTable(view), rolloutTable(view), r.withdrawnTable(view))
+}
+
+func (r *Run) platformLine(p status.Platform) string {
+	if p.Reachable {
+		return "reachable"
+	}
+	return "not reachable, last change " + r.ago(p.Since)
+}
+
+func (r *Run) routerTable(view status.Status) *table {
+	t := newTable("ROUTERS", "ID", "ZONE", "GENERATION", "CONFIRMED", "SERVING", "STOPPING", "HEARD")
+	for _, router := range view.Routers {
+		t.add(string(router.ID), string(router.Zone), fmt.Sprint(router.Generation), r.ago(router.Confirmed),
+			yes(router.Serving), yes(router.Stopping), r.ago(router.Seen))
+	}
+	return t
+}
+
+func endpointTable(view status.Status) *table {
+	t := newTable("ENDPOINTS", "ID", "ZONE", "RUNS", "PHASE", "LEAVING", "RUNNING", "WAITING", "SLOTS")
+	for _, e := range view.Endpoints {
+		runs := e.Release
+		if runs == "" {
+			runs = string(e.Service)
+		}
+		t.add(string(e.ID), string(e.Zone), runs, e.Phase, yes(e.Leaving),
+			fmt.Sprint(e.Running), fmt.Sprint(e.Waiting), fmt.Sprint(e.Slots))
+	}
+	return t
+}
+
+func zoneTable(view status.Status) *table {
+	t := newTable("ZONES", "ID", "OUT", "ENDPOINTS", "IN FLIGHT")
+	for _, z := range view.Zones {
+		t.add(string(z.ID), yes(z.Out), fmt.Sprint(z.Endpoints), fmt.Sprint(z.Inflight))
+	}
+	return t
+}
+
+func rolloutTable(view status.Status) *table {
+	t := newTable("ROLL-OUTS", "MODEL", "TO", "STEP", "SHARE", "FULL", "PAUSED", "ABORTED")
+	for _, o := range view.Rollouts {
+		t.add(string(o.Model), string(o.To), fmt.Sprintf("%d of %d", min(o.Step+1, o.Steps), o.Steps),
+			fmt.Sprintf("%.0f%%", 100*float64(o.Share)), yes(o.Full), yes(o.Paused), yes(o.Aborted))
+	}
+	return t
+}
+
+func (r *Run) withdrawnTable(view status.Status) *table {
+	t := newTable("WITHDRAWN", "RELEASE", "BY", "WHEN", "REASON")
+	for _, w := range view.Withdrawn {
+		t.add(w.Release.String(), w.By, r.ago(w.At), w.Reason)
+	}
+	return t
+}
--- /dev/null
+++ b/internal/cmd/force.go
@@ -0,0 +1,155 @@
+package cmd
+
+import (
+	"context"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/marigoldscale/marigoldscale/internal/publsh"
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+const (
+	nonceBytes = 16
+	askEvery   = 200 * time.Millisecond
+)
+
+// WaitFlag is shared by the commands that change what is in force.
+type WaitFlag struct {
+	Wait time.Duration `help:"How long to wait until the change is in force on every router; 0 not to wait." default:"30s"`
+}
+
+// published is the result of a command that changed what is in force.
+type published struct {
+	publsh.Result
+	Everywhere bool     `json:"everywhere"`
+	Seconds    float64  `json:"seconds"` // until it was in force everywhere
+	Unheard    []string `json:"unheard"` // instances listed by the platform that no router hears
+}
+
+// force puts a change in force and waits for the routers. A refused or
+// half-way publication leaves the configuration in force as it was.
+func (r *Run) force(change publsh.Change, expect ident.Generation, wait WaitFlag) (published, error) {
+	p, _, err := r.publisher()
+	if err != nil {
+		return published{}, err
+	}
+	if wait.Wait > 0 {
+		if err := r.needAdmin(); err != nil {
+			return published{}, badInput(fmt.Errorf("%w; or do not wait, by --wait 0", err))
+		}
+	}
+	nonce, err := r.random(nonceBytes)
+	if err != nil {
+		return published{}, err
+	}
+	began := r.Now()
+	result, err := p.Publish(r.ctx, publsh.Request{Change: change, By: r.User, Nonce: nonce, Expect: expect})
+	if err != nil {
+		return published{}, err
+	}
+	r.note("%s", describe(result))
+	out := published{Result: result}
+	if wait.Wait == 0 {
+		return out, nil
+	}
+	if err := r.await(p, result.Generation, wait); err != nil {
+		return out, err
+	}
+	out.Everywhere = true
+	out.Seconds = r.Now().Sub(began).Seconds()
+	out.Unheard = r.unheard()
+	r.note("generation %d is in force on every router after %.1f s", result.Generation, out.Seconds)
+	return out, nil
+}
+
+// forceAndPrint puts a change in force and prints it for scripts.
+func (r *Run) forceAndPrint(change publsh.Change, expect ident.Generation, wait WaitFlag) error {
+	result, err := r.force(change, expect, wait)
+	if err != nil {
+		return err
+	}
+	if r.flags.JSON {
+		return r.printJSON(result)
+	}
+	return nil
+}
+
+func (r *Run) await(p *publsh.Publisher, generation ident.Generation, wait WaitFlag) error {
+	ctx, cancel := context.WithTimeout(r.ctx, wait.Wait)
+	defer cancel()
+	last := ""
+	report := func(progress publsh.Progress) {
+		line := progressLine(progress)
+		if line != last {
+			r.note("%s", line)
+			last = line
+		}
+	}
+	return p.Await(ctx, generation, r.routers, askEvery, report)
+}
+
+// unheard names the live instances of the platform's list that no router
+// hears. Such a router may be cut off; it stops serving by itself.
+func (r *Run) unheard() []string {
+	platform, err := r.platform()
+	if err != nil {
+		return nil
+	}
+	instances, err := platform.Instances(r.ctx, statusClass)
+	if err != nil {
+		return nil
+	}
+	routers, err := r.routers(r.ctx)
+	if err != nil {
+		return nil
+	}
+	heard := map[string]bool{}
+	for _, router := range routers {
+		heard[string(router.ID)] = true
+	}
+	var names []string
+	for _, i := range instances {
+		if !i.Leaving && !heard[i.ID] {
+			names = append(names, i.ID)
+		}
+	}
+	if len(names) > 0 {
+		r.note("no router hears %s, which the platform still lists; if alive, it stops serving by itself", strings.Join(names, ", "))
+	}
+	return names
+}
+
+func progressLine(p publsh.Progress) string {
+	if p.Asked != nil {
+		return fmt.Sprintf("waiting: %v", p.Asked)
+	}
+	names := make([]string, len(p.Lagging))
+	for i, router := range p.Lagging {
+		names[i] = string(router.ID)
+	}
+	line := fmt.Sprintf("generation %d: %d of %d routers", p.Generation, p.Done, p.Done+len(p.Lagging))
+	if len(names) > 0 {
+		line += ", waiting for " + strings.Join(names, ", ")
+	}
+	return line
+}
+
+func describe(result publsh.Result) string {
+	if len(result.Changed) == 0 {
+		return fmt.Sprintf("nothing to change: generation %d has it already", result.Generation)
+	}
+	return fmt.Sprintf("generation %d accepted, changes %s", result.Generation, strings.Join(result.Changed, ", "))
+}
+
+// random gives n random bytes in hex.
+func (r *Run) random(n int) (string, error) {
+	raw := make([]byte, n)
+	if _, err := io.ReadFull(r.Random, raw); err != nil {
+		return "", fmt.Errorf("read random bytes: %w", err)
+	}
+	return hex.EncodeToString(raw), nil
+}
--- /dev/null
+++ b/internal/cmd/settings.go
@@ -0,0 +1,79 @@
+package cmd
+
+import (
+	"net/url"
+	"os"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/marigoldscale/marigoldscale/internal/input"
+)
+
+// Settings say where the platform and the routers are. Flags and environment
+// variables go before the settings file.
+type Settings struct {
+	Platform string
+	Admin    []string
+	CA       string // PEM file that checks the routers' certificates
+	Cert     string // PEM certificate shown to routers
+	Key      string // PEM key of Cert
+}
+
+// SettingsFields gives every key of the command line's settings file.
+func SettingsFields() []input.Field[Settings] {
+	path := func(string) bool { return true }
+	return []input.Field[Settings]{
+		input.Text("platform", "an http or https URL", `""`, isURL, func(s *Settings) *string { return &s.Platform }),
+		input.Texts("admin", "a list of http or https URLs", isURL, func(s *Settings) *[]string { return &s.Admin }),
+		input.Text("ca", "path of a PEM file", `""`, path, func(s *Settings) *string { return &s.CA }),
+		input.Text("cert", "path of a PEM file", `""`, path, func(s *Settings) *string { return &s.Cert }),
+		input.Text("key", "path of a PEM file", `""`, path, func(s *Settings) *string { return &s.Key }),
+	}
+}
+
+func loadSettings(flags *Flags) (Settings, error) {
+	var s Settings
+	if flags.Settings != "" {
+		read, problems := readSettings(flags.Settings)
+		if err := problems.Err(); err != nil {
+			return Settings{}, badInput(err)
+		}
+		s = read
+	}
+	if flags.Platform != "" {
+		s.Platform = flags.Platform
+	}
+	if len(flags.Admin) > 0 {
+		s.Admin = flags.Admin
+	}
+	for i, admin := range s.Admin {
+		s.Admin[i] = strings.TrimRight(admin, "/")
+	}
+	s.Platform = strings.TrimRight(s.Platform, "/")
+	for _, u := range append([]string{s.Platform}, s.Admin...) {
+		if u != "" && !isURL(u) {
+			return Settings{}, badInput(errors.Errorf("%q is not an http or https URL", u))
+		}
+	}
+	return s, nil
+}
+
+func readSettings(path string) (Settings, input.Problems) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, input.Problems{{File: path, What: err.Error(), Accepted: "a readable TOML file"}}
+	}
+	d, problems := input.Parse(input.File{Path: path, Text: text})
+	if d == nil {
+		return Settings{}, problems
+	}
+	var s Settings
+	problems = append(problems, input.Read(d, nil, d.Root, SettingsFields(), &s)...)
+	return s, problems.Sort()
+}
+
+func isURL(text string) bool {
+	u, err := url.Parse(text)
+	return err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
+}
--- a/internal/publsh/change.go
+++ b/internal/publsh/change.go
@@ -20,7 +20,8 @@
 // Tree replaces files by those of a collected tree.
 type Tree struct {
 	Files   []config.File
-	Prune   bool            // drop files in force that the tree lacks
+	Under   string          // path that begins those of all Files; empty for the whole tree
+	Prune   bool            // drop files in force under Under that Files lacks
 	Restore []ident.Release // withdrawn releases that may be used again
 }
 
@@ -94,7 +95,7 @@
 	want := files{}
 	texts := map[string][]byte{}
 	for path, digest := range base {
-		if !t.Prune || strings.HasPrefix(path, config.OverlayPrefix) {
+		if t.keeps(path) {
 			want[path] = digest
 		}
 	}
@@ -106,6 +107,26 @@
 	return want, texts
 }
 
+// keeps tells whether a file in force stays when the tree lacks it.
+func (t Tree) keeps(path string) bool {
+	return !t.Prune || strings.HasPrefix(path, config.OverlayPrefix) || !strings.HasPrefix(path, t.Under)
+}
+
+// Over gives the files that the tree makes of those in force.
+func (t Tree) Over(old []config.File) []config.File {
+	mine := map[string]bool{}
+	for _, f := range t.Files {
+		mine[f.Path] = true
+	}
+	all := append([]config.File(nil), t.Files...)
+	for _, f := range old {
+		if !mine[f.Path] && t.keeps(f.Path) {
+			all = append(all, f)
+		}
+	}
+	return all
+}
+
 // rebase makes the change from base to want on top of head. It gives the paths
 // that head changed to something else.
 func rebase(base, want, head files) (files, []string) {
