Assemble the router daemon: control thread, drivers, peer and admin addresses

Cause: the decisions need one process that carries them out. Ruled out: state shared under locks, since the order of events could then not be replayed in a test. Conclusion: one goroutine steps the control machine and publishes views; each request runs its own flow. Not yet run from end to end.

--- a/internal/ctrl/action.go
+++ b/internal/ctrl/action.go
@@ -20,6 +20,7 @@
 	To    fleet.Router
 	Beat  Beat
 	Marks Marks
+	Told  map[ident.Release]bool // withdrawals that Beat carries
 }
 
 // ReadPlatform reads the objects under the configuration prefix: Read or
--- a/internal/ctrl/beat.go
+++ b/internal/ctrl/beat.go
@@ -48,7 +48,11 @@
 	r.sent = now
 	r.sending = true
 	beat, marks := c.newBeat(now, r)
-	return SendBeat{To: r.router, Beat: beat, Marks: marks}
+	told := make(map[ident.Release]bool, len(beat.Withdrawals))
+	for _, w := range beat.Withdrawals {
+		told[w.Release] = true
+	}
+	return SendBeat{To: r.router, Beat: beat, Marks: marks, Told: told}
 }
 
 // newBeat makes the heartbeat for a peer, with what changed since it last
@@ -138,6 +142,7 @@
 	r.sending = false
 	r.heard = now
 	r.marks = e.Marks
+	r.told = e.Told
 	r.generation = max(r.generation, e.Generation)
 	r.confirmed = e.Asked.Add(-e.Age)
 	if e.Generation == c.generation() && e.Generation > 0 && e.Age >= 0 {
--- a/internal/ctrl/event.go
+++ b/internal/ctrl/event.go
@@ -55,6 +55,7 @@
 	Generation ident.Generation
 	Age        time.Duration // of the peer's newest confirmation
 	Marks      Marks         // that the heartbeat had carried
+	Told       map[ident.Release]bool
 }
 
 // Missed means that a heartbeat to a peer failed.
--- a/internal/ctrl/member.go
+++ b/internal/ctrl/member.go
@@ -32,7 +32,7 @@
 	stopping   bool
 	platform   bool // whether it reaches the platform
 	stewards   []ident.ZoneID
-	folded     bool
+	told       map[ident.Release]bool // withdrawals that it has acknowledged
 }
 
 // list takes in the platform's list of instances, which lags: it names routers
--- a/internal/ctrl/view.go
+++ b/internal/ctrl/view.go
@@ -8,7 +8,9 @@
 	"github.com/marigoldscale/marigoldscale/internal/fleet"
 	"github.com/marigoldscale/marigoldscale/internal/gossip"
 	"github.com/marigoldscale/marigoldscale/internal/plat"
+	"github.com/marigoldscale/marigoldscale/internal/poison"
 	"github.com/marigoldscale/marigoldscale/internal/roll"
+	"github.com/marigoldscale/marigoldscale/internal/status"
 	"github.com/marigoldscale/marigoldscale/pkg/ident"
 )
 
@@ -24,6 +26,11 @@
 	Stewards  map[ident.ZoneID]ident.RouterID // to ask for permits; "" for none known
 	Estimates *casc.Estimates
 	Relay     bool // this router reads the platform for its zone
+	Homes     *poison.Places
+	Fleet     []status.Router // every router known, for operators
+	Platform  status.Platform
+	spread    map[ident.Release][]ident.RouterID // routers that know of a withdrawal
+	stored    map[ident.Release]bool             // withdrawals that the platform holds
 }
 
 // Quota is how many more sessions this router may expose to a version under
@@ -85,6 +92,9 @@
 		Stewards:  map[ident.ZoneID]ident.RouterID{},
 		Estimates: c.estimates.Clone(),
 		Relay:     c.relay(),
+		Platform:  status.Platform{Reachable: c.platform.reachable, Since: c.platform.since},
+		spread:    map[ident.Release][]ident.RouterID{},
+		stored:    map[ident.Release]bool{},
 	}
 	c.fill(now, v)
 	return v
@@ -97,9 +107,9 @@
 	for model, r := range c.rollouts {
 		v.Rollouts[model] = r.State
 	}
-	for release, w := range c.withdrawn {
-		v.Withdrawn[release] = w
-	}
+	c.showWithdrawn(now, v)
+	c.showFleet(now, v)
+	v.Homes = poison.NewPlaces(v.Routers)
 	for model, rollout := range c.config.Rollouts {
 		state, ok := c.rollouts[model]
 		if !ok || state.State.To != rollout.To {
@@ -113,6 +123,56 @@
 	}
 }
 
+// showFleet lists the routers for operators, this one first.
+func (c *Control) showFleet(now time.Time, v *View) {
+	v.Fleet = []status.Router{{
+		ID:         c.self.ID,
+		Zone:       c.self.Zone,
+		Admin:      c.self.Admin,
+		Generation: c.generation(),
+		Confirmed:  c.confirmed,
+		Serving:    v.Serving,
+		Stopping:   c.stopping,
+		Seen:       now,
+	}}
+	for _, r := range c.peers() {
+		if r.heard.IsZero() {
+			continue
+		}
+		v.Fleet = append(v.Fleet, status.Router{
+			ID:         r.router.ID,
+			Zone:       r.router.Zone,
+			Admin:      r.router.Admin,
+			Generation: r.generation,
+			Confirmed:  r.confirmed,
+			Serving:    r.serving && r.live(now),
+			Stopping:   r.stopping,
+			Seen:       r.heard,
+		})
+	}
+}
+
+// showWithdrawn notes how far each withdrawal has spread.
+func (c *Control) showWithdrawn(now time.Time, v *View) {
+	for release, w := range c.withdrawn {
+		v.Withdrawn[release] = w
+		v.stored[release] = c.stored[release]
+		v.spread[release] = append(v.spread[release], c.self.ID)
+		for _, r := range c.peers() {
+			if r.live(now) && r.told[release] {
+				v.spread[release] = append(v.spread[release], r.router.ID)
+			}
+		}
+	}
+}
+
+// Spread tells which routers know of a withdrawal, and whether all live ones
+// and the platform do.
+func (v *View) Spread(release ident.Release) (status.WithdrawReply, bool) {
+	reply := status.WithdrawReply{Routers: v.spread[release], Durable: v.stored[release]}
+	return reply, reply.Durable && len(reply.Routers) >= len(v.Routers)
+}
+
 func (e *endpoint) show() *fleet.Endpoint {
 	phase := e.phase.Phase()
 	if !e.match {
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,77 @@
+// Package daemon is the command line of the router daemon.
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"go.uber.org/zap"
+
+	"github.com/marigoldscale/marigoldscale/internal/logs"
+	"github.com/marigoldscale/marigoldscale/internal/router"
+	"github.com/marigoldscale/marigoldscale/internal/setup"
+)
+
+// The exit codes of the daemon.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+// arguments are the daemon's flags.
+type arguments struct {
+	Config  string           `required:"" help:"Settings file, in TOML." type:"path"`
+	Check   bool             `help:"Check the settings and exit."`
+	Version kong.VersionFlag `help:"Print the version and exit."`
+}
+
+// Main runs the daemon until it is told to stop, and gives its exit code.
+func Main(version string, args []string) int {
+	var flags arguments
+	parser, err := kong.New(&flags,
+		kong.Name("marigoldscaled"),
+		kong.Description("Routes requests between callers and model engines."),
+		kong.Vars{"version": version})
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	if _, err := parser.Parse(args); err != nil {
+		fmt.Fprintf(os.Stderr, "marigoldscaled: %v\n", err)
+		return exitSettings
+	}
+	settings, err := setup.Load(flags.Config)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	if flags.Check {
+		return exitOK
+	}
+	return run(settings)
+}
+
+func run(settings setup.Settings) int {
+	log, err := logs.New(settings.Log.Level)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "marigoldscaled: %v\n", err)
+		return exitSettings
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	r, err := router.New(ctx, settings, log)
+	if err != nil {
+		log.Error("router does not start", zap.Error(err))
+		return exitFailed
+	}
+	if err := r.Run(ctx); err != nil {
+		log.Error("router failed", zap.Error(err))
+		return exitFailed
+	}
+	return exitOK
+}
--- /dev/null
+++ b/internal/router/admin.go
@@ -0,0 +1,201 @@
+package router
+
+import (
+	"net/http"
+	"sort"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"go.uber.org/zap"
+
+	"github.com/marigoldscale/marigoldscale/internal/ctrl"
+	"github.com/marigoldscale/marigoldscale/internal/fleet"
+	"github.com/marigoldscale/marigoldscale/internal/peers"
+	"github.com/marigoldscale/marigoldscale/internal/status"
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+const (
+	// adminTimeout bounds reading one admin request.
+	adminTimeout = 5 * time.Second
+	// withdrawWait bounds how long a withdrawal waits for the peers' word.
+	withdrawWait = 3 * time.Second
+)
+
+// adminServer makes the HTTP server of the admin address.
+func (r *Router) adminServer() *http.Server {
+	e := echo.New()
+	e.HideBanner = true
+	e.HidePort = true
+	e.GET("/healthz", func(c echo.Context) error { return c.NoContent(http.StatusOK) })
+	e.GET("/readyz", r.ready)
+	e.GET("/metrics", r.showMetrics)
+	e.GET("/v1/status", r.showStatus)
+	e.POST("/v1/explain", r.explain)
+	e.POST("/v1/withdraw", r.withdraw)
+	server := &http.Server{Handler: e, ReadHeaderTimeout: adminTimeout, ReadTimeout: adminTimeout}
+	config, err := peers.TLS(peers.Files{Cert: r.settings.TLS.Cert, Key: r.settings.TLS.Key, CA: r.settings.TLS.CA})
+	if err == nil && config != nil {
+		r.admin = secure(r.admin, config)
+	}
+	return server
+}
+
+func (r *Router) ready(c echo.Context) error {
+	v := r.view.Load()
+	if v == nil || !v.Ready(time.Now()) {
+		return c.NoContent(http.StatusServiceUnavailable)
+	}
+	return c.NoContent(http.StatusOK)
+}
+
+func (r *Router) showMetrics(c echo.Context) error {
+	r.stats.show(r.metrics)
+	r.metrics.Gauge("requests_open", int64(r.server.Open()))
+	r.metrics.Gauge("journal_pending", int64(len(r.journal.Pending())))
+	c.Response().Header().Set(echo.HeaderContentType, "text/plain; version=0.0.4")
+	return r.metrics.Expose(c.Response())
+}
+
+func (r *Router) showStatus(c echo.Context) error {
+	v := r.view.Load()
+	if v == nil {
+		return c.JSON(http.StatusServiceUnavailable, status.Failure{Error: "no configuration is in force on this router yet; publish one"})
+	}
+	return c.JSON(http.StatusOK, r.newStatus(time.Now(), v))
+}
+
+func (r *Router) newStatus(now time.Time, v *ctrl.View) status.Status {
+	s := status.Status{
+		Self:      v.Self.ID,
+		At:        now,
+		Digest:    v.Config.Digest,
+		Routers:   v.Fleet,
+		Endpoints: []status.Endpoint{},
+		Zones:     []status.Zone{},
+		Rollouts:  []status.Rollout{},
+		Withdrawn: []status.WithdrawnEntry{},
+		Platform:  v.Platform,
+	}
+	for _, e := range v.Endpoints {
+		s.Endpoints = append(s.Endpoints, endpointStatus(e))
+	}
+	sort.Slice(s.Endpoints, func(i, j int) bool { return s.Endpoints[i].ID < s.Endpoints[j].ID })
+	for _, z := range v.Config.Zones {
+		s.Zones = append(s.Zones, r.zoneStatus(now, v, z))
+	}
+	sort.Slice(s.Zones, func(i, j int) bool { return s.Zones[i].ID < s.Zones[j].ID })
+	for _, rollout := range v.Config.Rollouts {
+		s.Rollouts = append(s.Rollouts, rolloutStatus(v, rollout))
+	}
+	sort.Slice(s.Rollouts, func(i, j int) bool { return s.Rollouts[i].Model < s.Rollouts[j].Model })
+	for _, w := range v.Withdrawn {
+		s.Withdrawn = append(s.Withdrawn, status.WithdrawnEntry(w))
+	}
+	sort.Slice(s.Withdrawn, func(i, j int) bool { return s.Withdrawn[i].Release.String() < s.Withdrawn[j].Release.String() })
+	return s
+}
+
+func endpointStatus(e *fleet.Endpoint) status.Endpoint {
+	s := status.Endpoint{
+		ID:       e.Spec.ID,
+		Zone:     e.Spec.Zone,
+		Service:  e.Spec.Service,
+		Phase:    phaseName(e.Phase),
+		Leaving:  e.Leaving,
+		Running:  e.Report.Running,
+		Waiting:  e.Report.Waiting,
+		Slots:    e.Spec.Slots,
+		Reported: e.Reported,
+	}
+	if e.Spec.Service == "" {
+		s.Release = e.Spec.Release.String()
+	}
+	return s
+}
+
+func phaseName(p fleet.Phase) string {
+	switch p {
+	case fleet.PhaseWarm:
+		return "warm"
+	case fleet.PhaseDown:
+		return "down"
+	default:
+		return "cold"
+	}
+}
+
+func (r *Router) zoneStatus(now time.Time, v *ctrl.View, z *fleet.Zone) status.Zone {
+	s := status.Zone{ID: z.ID, Out: z.Out}
+	for _, e := range v.Endpoints {
+		if e.Spec.Zone != z.ID {
+			continue
+		}
+		s.Endpoints++
+		s.Inflight += r.table.Load(now, e.Spec.ID).Running
+	}
+	return s
+}
+
+func rolloutStatus(v *ctrl.View, rollout *fleet.Rollout) status.Rollout {
+	s := status.Rollout{
+		Model:   rollout.Model,
+		To:      rollout.To,
+		Steps:   len(rollout.Steps),
+		Paused:  rollout.Paused,
+		Aborted: rollout.Aborted,
+	}
+	state, ok := v.Rollouts[rollout.Model]
+	if !ok || state.To != rollout.To {
+		return s
+	}
+	s.Step = state.Step
+	s.Entered = state.Entered
+	s.Full = state.Full
+	s.Share = 1
+	if state.Step < len(rollout.Steps) {
+		s.Share = rollout.Steps[state.Step].Share
+	}
+	return s
+}
+
+// withdraw takes a release out of service and tells how far the word has got.
+func (r *Router) withdraw(c echo.Context) error {
+	var order status.WithdrawRequest
+	if err := c.Bind(&order); err != nil {
+		return c.JSON(http.StatusBadRequest, status.Failure{Error: "body is not a withdrawal: " + err.Error()})
+	}
+	v := r.view.Load()
+	if v == nil {
+		return c.JSON(http.StatusServiceUnavailable, status.Failure{Error: "no configuration is in force on this router yet"})
+	}
+	if m, ok := v.Config.Models[order.Release.Model]; !ok || !declares(m, order.Release.Version) {
+		return c.JSON(http.StatusNotFound, status.Failure{Error: "release " + order.Release.String() + " is not declared"})
+	}
+	r.log.Info("operator withdraws release", zap.String("release", order.Release.String()), zap.String("by", order.By))
+	r.tell(ctrl.Withdraw{Withdrawal: fleet.Withdrawal{Release: order.Release, Reason: order.Reason, At: time.Now(), By: order.By}})
+	return c.JSON(http.StatusOK, r.awaitWithdrawal(c, order.Release))
+}
+
+func declares(m *fleet.Model, version ident.VersionID) bool {
+	for _, v := range m.Versions {
+		if v == version {
+			return true
+		}
+	}
+	return false
+}
+
+// awaitWithdrawal waits until every live router has answered a heartbeat that
+// carried the withdrawal, for a bounded time.
+func (r *Router) awaitWithdrawal(c echo.Context, release ident.Release) status.WithdrawReply {
+	const look = 25 * time.Millisecond
+	until := time.Now().Add(withdrawWait)
+	for {
+		reply, all := r.view.Load().Spread(release)
+		if all || time.Now().After(until) || c.Request().Context().Err() != nil {
+			return reply
+		}
+		pause(c.Request().Context(), look)
+	}
+}
--- /dev/null
+++ b/internal/router/beat.go
@@ -0,0 +1,230 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/marigoldscale/marigoldscale/internal/ctrl"
+	"github.com/marigoldscale/marigoldscale/internal/fleet"
+	"github.com/marigoldscale/marigoldscale/internal/peers"
+	"github.com/marigoldscale/marigoldscale/internal/wire"
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+// beatTimeout bounds one heartbeat.
+const beatTimeout = time.Second
+
+// sendBeat sends a heartbeat and tells the control thread what came back.
+func (r *Router) sendBeat(ctx context.Context, a ctrl.SendBeat) {
+	asked := time.Now()
+	reply, err := r.callBeat(ctx, a)
+	if err != nil {
+		r.post(ctx, ctrl.Missed{Router: a.To.ID})
+		return
+	}
+	if reply.Router.GetId() != string(a.To.ID) {
+		// Another router has taken over the address.
+		r.post(ctx, ctrl.Missed{Router: a.To.ID})
+		return
+	}
+	r.post(ctx, ctrl.Acked{
+		Router:     routerOf(reply.Router),
+		Asked:      asked,
+		Generation: ident.Generation(reply.Generation),
+		Age:        time.Duration(reply.ConfirmedMillis) * time.Millisecond,
+		Marks:      a.Marks,
+		Told:       a.Told,
+	})
+}
+
+func (r *Router) callBeat(ctx context.Context, a ctrl.SendBeat) (*wire.BeatReply, error) {
+	peer, err := r.links.Peer(a.To.Peer)
+	if err != nil {
+		return nil, err
+	}
+	request, err := encodeBeat(a.Beat)
+	if err != nil {
+		return nil, err
+	}
+	r.stats.sent(request)
+	return peers.Call(ctx, beatTimeout, func(ctx context.Context) (*wire.BeatReply, error) {
+		return peer.Beat(ctx, request)
+	})
+}
+
+// Beat implements wire.PeerServer.
+func (p *peerServer) Beat(_ context.Context, request *wire.BeatRequest) (*wire.BeatReply, error) {
+	beat, err := decodeBeat(request)
+	if err != nil {
+		return nil, err
+	}
+	p.router.stats.received(request)
+	p.router.tell(ctrl.Beaten{Beat: beat})
+	reply := &wire.BeatReply{Router: wireRouter(p.router.self)}
+	if v := p.router.view.Load(); v != nil {
+		reply.Router = wireRouter(v.Self)
+		reply.Generation = uint64(v.Config.Generation)
+		reply.ConfirmedMillis = uint64(time.Since(v.Confirmed).Milliseconds())
+	}
+	return reply, nil
+}
+
+func encodeBeat(b ctrl.Beat) (*wire.BeatRequest, error) {
+	request := &wire.BeatRequest{
+		Router:          wireRouter(b.Router),
+		Generation:      uint64(b.Generation),
+		ConfirmedMillis: uint64(b.Age.Milliseconds()),
+		Platform:        b.Platform,
+		Serving:         b.Serving,
+		Stopping:        b.Stopping,
+	}
+	for _, z := range b.Stewards {
+		request.Stewards = append(request.Stewards, string(z))
+	}
+	for _, w := range b.Withdrawals {
+		request.Withdrawals = append(request.Withdrawals, &wire.Withdrawal{
+			Model: string(w.Release.Model), Version: string(w.Release.Version),
+			Reason: w.Reason, By: w.By, At: w.At.UnixMilli(),
+		})
+	}
+	parts := []part{
+		{"evidence", &request.Evidence, b.Evidence, len(b.Evidence) == 0},
+		{"estimates", &request.Estimates, b.Estimates, len(b.Estimates) == 0},
+		{"deaths", &request.Deaths, b.Deaths, len(b.Deaths.Deaths)+len(b.Deaths.Clearances) == 0},
+		{"marks", &request.Marks, b.Colds, len(b.Colds) == 0},
+	}
+	for _, p := range parts {
+		if err := p.encode(); err != nil {
+			return nil, err
+		}
+	}
+	return request, nil
+}
+
+// part is one JSON field of a heartbeat.
+type part struct {
+	name  string
+	text  *[]byte
+	value any
+	empty bool
+}
+
+func (p part) encode() error {
+	if p.empty {
+		return nil
+	}
+	text, err := json.Marshal(p.value)
+	if err != nil {
+		return fmt.Errorf("encoding %s of heartbeat: %w", p.name, err)
+	}
+	*p.text = text
+	return nil
+}
+
+func (p part) decode() error {
+	if len(*p.text) == 0 {
+		return nil
+	}
+	if err := json.Unmarshal(*p.text, p.value); err != nil {
+		return fmt.Errorf("decoding %s of heartbeat: %w", p.name, err)
+	}
+	return nil
+}
+
+func decodeBeat(request *wire.BeatRequest) (ctrl.Beat, error) {
+	b := ctrl.Beat{
+		Router:     routerOf(request.Router),
+		Generation: ident.Generation(request.Generation),
+		Age:        time.Duration(request.ConfirmedMillis) * time.Millisecond,
+		Platform:   request.Platform,
+		Serving:    request.Serving,
+		Stopping:   request.Stopping,
+	}
+	for _, z := range request.Stewards {
+		b.Stewards = append(b.Stewards, ident.ZoneID(z))
+	}
+	for _, w := range request.Withdrawals {
+		b.Withdrawals = append(b.Withdrawals, fleet.Withdrawal{
+			Release: ident.Release{Model: ident.ModelID(w.Model), Version: ident.VersionID(w.Version)},
+			Reason:  w.Reason, By: w.By, At: time.UnixMilli(w.At),
+		})
+	}
+	parts := []part{
+		{"evidence", &request.Evidence, &b.Evidence, false},
+		{"estimates", &request.Estimates, &b.Estimates, false},
+		{"deaths", &request.Deaths, &b.Deaths, false},
+		{"marks", &request.Marks, &b.Colds, false},
+	}
+	for _, p := range parts {
+		if err := p.decode(); err != nil {
+			return ctrl.Beat{}, err
+		}
+	}
+	return b, nil
+}
+
+func wireRouter(r fleet.Router) *wire.Router {
+	return &wire.Router{Id: string(r.ID), Zone: string(r.Zone), Peer: r.Peer, Admin: r.Admin, Leaving: r.Leaving}
+}
+
+func routerOf(w *wire.Router) fleet.Router {
+	return fleet.Router{
+		ID:      ident.RouterID(w.GetId()),
+		Zone:    ident.ZoneID(w.GetZone()),
+		Peer:    w.GetPeer(),
+		Admin:   w.GetAdmin(),
+		Leaving: w.GetLeaving(),
+	}
+}
+
+// fetchConfig gets a configuration that a peer told of, from the peer itself.
+func (r *Router) fetchConfig(ctx context.Context, a ctrl.FetchConfig) {
+	e, err := r.callFetch(ctx, a)
+	if err != nil {
+		r.log.Warn("fetching configuration from peer", zap.String("peer", string(a.From.ID)), zap.Error(err))
+		e = ctrl.Fetched{}
+	}
+	r.post(ctx, e)
+}
+
+func (r *Router) callFetch(ctx context.Context, a ctrl.FetchConfig) (ctrl.Fetched, error) {
+	peer, err := r.links.Peer(a.From.Peer)
+	if err != nil {
+		return ctrl.Fetched{}, err
+	}
+	reply, err := peers.Call(ctx, callTimeout, func(ctx context.Context) (*wire.FetchReply, error) {
+		return peer.Fetch(ctx, &wire.FetchRequest{Generation: uint64(a.Head.Generation)})
+	})
+	if err != nil || len(reply.Config) == 0 {
+		return ctrl.Fetched{}, err
+	}
+	var e ctrl.Fetched
+	if err := json.Unmarshal(reply.Head, &e.Head); err != nil {
+		return ctrl.Fetched{}, fmt.Errorf("decoding head: %w", err)
+	}
+	if err := json.Unmarshal(reply.Config, &e.Config); err != nil {
+		return ctrl.Fetched{}, fmt.Errorf("decoding configuration: %w", err)
+	}
+	return e, nil
+}
+
+// Fetch implements wire.PeerServer.
+func (p *peerServer) Fetch(_ context.Context, request *wire.FetchRequest) (*wire.FetchReply, error) {
+	known := p.router.known.Load()
+	if known == nil || uint64(known.head.Generation) < request.Generation {
+		return &wire.FetchReply{}, nil
+	}
+	head, err := json.Marshal(known.head)
+	if err != nil {
+		return nil, fmt.Errorf("encoding head: %w", err)
+	}
+	config, err := json.Marshal(known.config)
+	if err != nil {
+		return nil, fmt.Errorf("encoding configuration: %w", err)
+	}
+	return &wire.FetchReply{Head: head, Config: config}, nil
+}
--- a/internal/router/control.go
+++ b/internal/router/control.go
@@ -58,6 +58,7 @@
 	r.view.Store(view)
 	r.gates.Refresh(now, view)
 	r.table.Retain(view.Snapshot)
+	r.budget.Resize(readShare(len(view.Routers)), writeShare(len(view.Routers)))
 	r.journal.SetRouters(view.RouterIDs())
 	r.links.Keep(r.control.Addresses())
 	r.known.Store(&published{head: r.control.Head(), config: view.Config})
--- /dev/null
+++ b/internal/router/explain.go
@@ -0,0 +1,124 @@
+package router
+
+import (
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/marigoldscale/marigoldscale/internal/ctrl"
+	"github.com/marigoldscale/marigoldscale/internal/fleet"
+	"github.com/marigoldscale/marigoldscale/internal/roll"
+	"github.com/marigoldscale/marigoldscale/internal/route"
+	"github.com/marigoldscale/marigoldscale/internal/status"
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+func secure(l net.Listener, config *tls.Config) net.Listener {
+	return tls.NewListener(l, config)
+}
+
+// explain tells what would run where, and why nothing else would.
+func (r *Router) explain(c echo.Context) error {
+	var question status.ExplainRequest
+	if err := c.Bind(&question); err != nil {
+		return c.JSON(http.StatusBadRequest, status.Failure{Error: "body is not a question: " + err.Error()})
+	}
+	v := r.view.Load()
+	if v == nil {
+		return c.JSON(http.StatusServiceUnavailable, status.Failure{Error: "no configuration is in force on this router yet"})
+	}
+	team, ok := v.Config.Teams[question.Team]
+	if !ok {
+		return c.JSON(http.StatusNotFound, status.Failure{Error: "team " + string(question.Team) + " does not exist"})
+	}
+	return c.JSON(http.StatusOK, r.explanation(time.Now(), v, team, question))
+}
+
+func (r *Router) explanation(now time.Time, v *ctrl.View, team *fleet.Team, q status.ExplainRequest) status.Explanation {
+	if q.Service != "" {
+		if !team.AllowsService(q.Service) {
+			return status.Explanation{Refusal: "the team may not call the service", Choices: []status.Choice{}}
+		}
+		return r.explainOne(now, v, route.Request{Service: q.Service})
+	}
+	return r.explainModel(now, v, team, q)
+}
+
+// explainModel explains each version of the model, the one that the session
+// would get first.
+func (r *Router) explainModel(now time.Time, v *ctrl.View, team *fleet.Team, q status.ExplainRequest) status.Explanation {
+	model, ok := v.Config.Models[q.Model]
+	if !ok {
+		return status.Explanation{Refusal: "the model does not exist", Choices: []status.Choice{}}
+	}
+	seed := roll.Seed(ident.SessionKey{Team: q.Team, Session: q.Session})
+	choice, ok := roll.Assign(seed, v.Snapshot, team, q.Model, v.Quota(q.Model))
+	if !ok {
+		return status.Explanation{Refusal: "the team may use no version of the model now", Choices: refusedVersions(v, team, model, "")}
+	}
+	release := ident.Release{Model: q.Model, Version: choice.Version}
+	explained := r.explainOne(now, v, route.Request{Release: release, Seed: seed, Prompt: 1})
+	explained.Choices = append(explained.Choices, refusedVersions(v, team, model, choice.Version)...)
+	return explained
+}
+
+func refusedVersions(v *ctrl.View, team *fleet.Team, model *fleet.Model, chosen ident.VersionID) []status.Choice {
+	choices := []status.Choice{}
+	for _, version := range model.Versions {
+		if version == chosen {
+			continue
+		}
+		release := ident.Release{Model: model.ID, Version: version}
+		c := status.Choice{Release: release.String(), Verdict: status.VerdictPossible, Reason: "another version is chosen for the session"}
+		switch {
+		case !team.Allows(release):
+			c.Verdict, c.Reason = status.VerdictRefused, "the team may not use the version"
+		case !v.Allowed(release):
+			c.Verdict, c.Reason = status.VerdictRefused, "the version is withdrawn"
+		}
+		choices = append(choices, c)
+	}
+	return choices
+}
+
+// explainOne explains each endpoint of one release or service.
+func (r *Router) explainOne(now time.Time, v *ctrl.View, request route.Request) status.Explanation {
+	explained := status.Explanation{Choices: []status.Choice{}}
+	chosen := chosenEndpoint(route.Choose(now, v.Snapshot, request, r.table, r.prefixes))
+	for _, verdict := range route.Explain(now, v.Snapshot, request, r.table, r.prefixes) {
+		c := status.Choice{Service: request.Service, Endpoint: verdict.Endpoint, Zone: verdict.Zone, Reason: string(verdict.Reason)}
+		if request.Service == "" {
+			c.Release = request.Release.String()
+		}
+		switch {
+		case verdict.Endpoint == chosen:
+			c.Verdict = status.VerdictChosen
+			explained.Chosen = &c
+			explained.Choices = append([]status.Choice{c}, explained.Choices...)
+			continue
+		case verdict.Reason == route.ReasonFit || verdict.Reason == route.ReasonCold:
+			c.Verdict = status.VerdictPossible
+		default:
+			c.Verdict = status.VerdictRefused
+		}
+		explained.Choices = append(explained.Choices, c)
+	}
+	if explained.Chosen == nil {
+		explained.Refusal = "no endpoint can take the request now"
+	}
+	return explained
+}
+
+func chosenEndpoint(choice route.Choice) ident.EndpointID {
+	switch c := choice.(type) {
+	case route.Send:
+		return c.Endpoint.Spec.ID
+	case route.NeedPermit:
+		return c.Endpoint.Spec.ID
+	default:
+		return ""
+	}
+}
--- /dev/null
+++ b/internal/router/poll.go
@@ -0,0 +1,116 @@
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/marigoldscale/marigoldscale/internal/ctrl"
+	"github.com/marigoldscale/marigoldscale/internal/fleet"
+	"github.com/marigoldscale/marigoldscale/internal/route"
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+const (
+	// cacheEvery is the number of load reports for each read of cache events.
+	cacheEvery = 2
+	// hexBase is the base of block hashes in cache events.
+	hexBase = 16
+)
+
+// poller asks one endpoint for its load until it is stopped.
+type poller struct {
+	router *Router
+	spec   *fleet.EndpointSpec
+	cancel context.CancelFunc
+	after  uint64 // newest cache event seen
+}
+
+// pollLoop keeps one poller for each endpoint of the view.
+func (r *Router) pollLoop(ctx context.Context) error {
+	pollers := map[ident.EndpointID]*poller{}
+	var running sync.WaitGroup
+	for ctx.Err() == nil {
+		if v := r.view.Load(); v != nil {
+			r.syncPollers(ctx, v, pollers, &running)
+		}
+		pause(ctx, r.settings.Times.Report)
+	}
+	for _, p := range pollers {
+		p.cancel()
+	}
+	running.Wait()
+	return nil
+}
+
+func (r *Router) syncPollers(ctx context.Context, v *ctrl.View, pollers map[ident.EndpointID]*poller, running *sync.WaitGroup) {
+	for id, p := range pollers {
+		e, ok := v.Endpoints[id]
+		if !ok || e.Spec.Address != p.spec.Address {
+			p.cancel()
+			delete(pollers, id)
+		}
+	}
+	for id, e := range v.Endpoints {
+		if _, ok := pollers[id]; ok {
+			continue
+		}
+		ctx, cancel := context.WithCancel(ctx)
+		p := &poller{router: r, spec: e.Spec, cancel: cancel}
+		pollers[id] = p
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			p.loop(ctx)
+		}()
+	}
+}
+
+func (p *poller) loop(ctx context.Context) {
+	interval := p.router.settings.Times.Report
+	pause(ctx, rand.N(interval))
+	for n := 0; ctx.Err() == nil; n++ {
+		p.load(ctx)
+		if n%cacheEvery == 0 && p.spec.Service == "" {
+			p.cache(ctx)
+		}
+		pause(ctx, interval)
+	}
+}
+
+func (p *poller) load(ctx context.Context) {
+	asked := time.Now()
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	load, err := p.router.engine.Load(call, p.spec.Address)
+	if ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		p.router.post(ctx, ctrl.LoadFailed{Endpoint: p.spec.ID})
+		return
+	}
+	p.router.prefixes.Booted(p.spec.ID, load.Boot)
+	p.router.post(ctx, ctrl.Loaded{Endpoint: p.spec.ID, Asked: asked, Load: load})
+}
+
+func (p *poller) cache(ctx context.Context) {
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	read, err := p.router.engine.Cache(call, p.spec.Address, p.after)
+	if err != nil {
+		return
+	}
+	events := make([]route.CacheEvent, 0, len(read.Events))
+	for _, e := range read.Events {
+		block, err := strconv.ParseUint(e.Block, hexBase, 64)
+		if err != nil {
+			continue
+		}
+		events = append(events, route.CacheEvent{Sequence: e.Sequence, Block: block, Stored: e.Stored})
+	}
+	p.after = read.Upto
+	p.router.prefixes.Apply(p.spec.ID, events)
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -65,6 +65,7 @@
 	view     atomic.Pointer[ctrl.View]
 	known    atomic.Pointer[published] // head and configuration in force
 	platform plat.Platform
+	budget   *plat.Budget
 	reader   *publsh.Reader
 	reading  sync.Mutex // guards reader
 	links    *peers.Links
@@ -79,10 +80,10 @@
 	asked    *questions
 	stats    stats
 
-	caller net.Listener
-	admin  net.Listener
-	peer   net.Listener
-	rpc    *grpc.Server
+	caller    net.Listener
+	admin     net.Listener
+	peerLinks net.Listener
+	rpc       *grpc.Server
 }
 
 // New builds a router and opens its three addresses.
@@ -103,7 +104,7 @@
 	r.self = fleet.Router{
 		ID:    settings.Router,
 		Zone:  settings.Zone,
-		Peer:  r.peer.Addr().String(),
+		Peer:  r.peerLinks.Addr().String(),
 		Admin: r.admin.Addr().String(),
 	}
 	if err := r.assemble(ctx); err != nil {
@@ -120,7 +121,7 @@
 	if r.admin, err = net.Listen("tcp", r.settings.Admin); err != nil {
 		return fmt.Errorf("opening admin address: %w", err)
 	}
-	if r.peer, err = net.Listen("tcp", r.settings.Peer); err != nil {
+	if r.peerLinks, err = net.Listen("tcp", r.settings.Peer); err != nil {
 		return fmt.Errorf("opening peer address: %w", err)
 	}
 	return nil
@@ -145,7 +146,8 @@
 	}
 	r.links = peers.New(peers.Credentials(security))
 	r.rpc = peers.Server(peers.Credentials(security), &peerServer{router: r})
-	r.platform = plat.NewClient(r.settings.Platform, httpClient(platformTimeout), plat.NewBudget(plat.DefaultLimits()), plat.DefaultRetry(), r.metrics.Registry())
+	r.budget = plat.NewBudget(readShare(1), writeShare(1), time.Now)
+	r.platform = plat.NewClient(r.settings.Platform, httpClient(platformTimeout), r.budget, plat.DefaultRetry(), r.metrics.Registry())
 	r.reader = publsh.NewReader(r.platform)
 	r.engine = engine.New(httpClient(connectTimeout))
 	r.control = ctrl.New(r.self, ctrl.DefaultSettings(r.settings.Times.Heartbeat), r.started)
@@ -210,7 +212,7 @@
 	group.Go(func() error { return r.pollLoop(work) })
 	group.Go(func() error { return r.watchLoop(work) })
 	group.Go(func() error { return r.permits.loop(work) })
-	group.Go(func() error { return closed(r.rpc.Serve(r.peer)) })
+	group.Go(func() error { return closed(r.rpc.Serve(r.peerLinks)) })
 	group.Go(func() error { return closed(admin.Serve(r.admin)) })
 	group.Go(func() error { return closed(callers.Serve(r.caller)) })
 	r.log.Info("router started",
@@ -272,6 +274,23 @@
 // pingInterval is the interval of TCP keep-alive probes.
 const pingInterval = 5 * time.Second
 
+// The platform's rates for the whole fleet, shared evenly between the routers,
+// and the calls that one router may make at once.
+const (
+	fleetReads  = 2000.0 // calls a second
+	fleetWrites = 400.0
+	burstReads  = 200.0 // calls
+	burstWrites = 60.0
+)
+
+func readShare(routers int) plat.Rate {
+	return plat.Rate{Calls: fleetReads / float64(routers), Burst: burstReads}
+}
+
+func writeShare(routers int) plat.Rate {
+	return plat.Rate{Calls: fleetWrites / float64(routers), Burst: burstWrites}
+}
+
 func newSealer(text string) (*sess.Sealer, error) {
 	raw, err := hex.DecodeString(text)
 	var key sess.Key
