--- a/internal/config/fields.go
+++ b/internal/config/fields.go
@@ -92,8 +92,8 @@
 	return []input.Field[spec]{
 		input.Text("zone", acceptedName, "", name.MatchString, func(e *spec) *ident.ZoneID { return &e.Zone }).Require(),
 		input.Text("address", "host:port", "", isAddress, func(e *spec) *string { return &e.Address }).Require(),
-		input.Text("release", "model@version", `""`, isRelease, func(e *spec) *string { return &e.release }),
-		input.Text("service", acceptedName, `""`, name.MatchString, func(e *spec) *ident.ServiceID { return &e.Service }),
+		input.Text("release", "model@version", "", isRelease, func(e *spec) *string { return &e.release }),
+		input.Text("service", acceptedName, "", name.MatchString, func(e *spec) *ident.ServiceID { return &e.Service }),
 		input.Int("slots", "requests at once", 1, maxSlots, 1, func(e *spec) *int { return &e.Slots }).Require(),
 		input.Int("cold", "requests at once", 0, maxSlots, 1, func(e *spec) *int { return &e.Cold }),
 		input.Bool("fenced", false, func(e *spec) *bool { return &e.Fenced }),
@@ -108,15 +108,15 @@
 		input.Tables("steps", acceptedSteps, "the standard steps", stepFields(), func(r *rollout) *[]fleet.Step { return &r.Steps }),
 		input.Bool("paused", false, func(r *rollout) *bool { return &r.Paused }),
 		input.Bool("aborted", false, func(r *rollout) *bool { return &r.Aborted }),
-		input.Float("errors", "rise of the error share", 0, 1, preset.Errors, func(r *rollout) *ident.Share { return &r.Limits.Errors }),
-		input.Float("quality", "fall of the mean rating", 0, 1, preset.Quality, func(r *rollout) *ident.Quality { return &r.Limits.Quality }),
-		input.Float("latency", "times the time to the first token", 1, 100, preset.Latency, func(r *rollout) *float64 { return &r.Limits.Latency }),
+		input.Float("errors", ", a rise of the error share", 0, 1, preset.Errors, func(r *rollout) *ident.Share { return &r.Limits.Errors }),
+		input.Float("quality", ", a fall of the mean rating", 0, 1, preset.Quality, func(r *rollout) *ident.Quality { return &r.Limits.Quality }),
+		input.Float("latency", ", a factor on the time to the first token", 1, 100, preset.Latency, func(r *rollout) *float64 { return &r.Limits.Latency }),
 	}
 }
 
 func stepFields() []input.Field[fleet.Step] {
 	return []input.Field[fleet.Step]{
-		input.Float("share", "of new sessions", 0, 1, ident.Share(0), func(s *fleet.Step) *ident.Share { return &s.Share }).Require(),
+		input.Float("share", ", a part of new sessions", 0, 1, ident.Share(0), func(s *fleet.Step) *ident.Share { return &s.Share }).Require(),
 		input.Int("sessions", "sessions, 0 for no limit", 0, maxSessions, 0, func(s *fleet.Step) *int { return &s.Sessions }),
 		input.Int("evidence", "answers", 0, maxSessions, 0, func(s *fleet.Step) *int { return &s.Evidence }),
 	}
--- a/internal/input/field.go
+++ b/internal/input/field.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"sort"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -82,7 +83,7 @@
 		*at(t) = F(n)
 		return true
 	}
-	accepted := fmt.Sprintf("a number from %v to %v%s", low, high, spaced(unit))
+	accepted := fmt.Sprintf("a number from %s to %s%s", decimal(low), decimal(high), spaced(unit))
 	return Field[T]{Name: name, Accepted: accepted, Default: fmt.Sprint(preset), set: set}
 }
 
@@ -229,13 +230,19 @@
 	return text
 }
 
+// spaced sets a unit off from its number; one that begins with a comma stands
+// close to it.
 func spaced(unit string) string {
-	if unit == "" {
-		return ""
+	if unit == "" || strings.HasPrefix(unit, ",") {
+		return unit
 	}
 	return " " + unit
 }
 
+func decimal(n float64) string {
+	return strconv.FormatFloat(n, 'f', -1, 64)
+}
+
 func names[T any](fields []Field[T]) string {
 	all := make([]string, len(fields))
 	for i, f := range fields {
