--- a/cmd/marigoldstand/ports.go
+++ b/cmd/marigoldstand/ports.go
@@ -2,7 +2,18 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// lowestPort and highestPort lie below the ports that the kernel gives out
+	// by itself, so that no connection takes one between here and its use.
+	lowestPort  = 12_000
+	highestPort = 32_000
+	portTries   = 10_000
 )
 
 type portsCommand struct {
@@ -11,13 +22,19 @@
 
 // Run prints ports that were free a moment ago, all different.
 func (c *portsCommand) Run() error {
-	for range c.Count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	printed := 0
+	for range portTries {
+		if printed == c.Count {
+			return nil
+		}
+		port := lowestPort + rand.IntN(highestPort-lowestPort)
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
-			return fmt.Errorf("taking a free port: %w", err)
+			continue
 		}
 		defer listener.Close() // only at the end, so that no port comes twice
-		fmt.Println(listener.Addr().(*net.TCPAddr).Port)
+		fmt.Println(port)
+		printed++
 	}
-	return nil
+	return errors.Errorf("only %d of %d free ports found between %d and %d", printed, c.Count, lowestPort, highestPort)
 }
