--- a/internal/config/setting.go
+++ b/internal/config/setting.go
@@ -108,6 +108,28 @@
 	return append([]byte(overlayHeader), body...), nil
 }
 
+// Undeclared reports settings that withdraw a release that is not declared. The
+// loader lets these pass, since a withdrawal outlives its version.
+func Undeclared(c *fleet.Config, settings []Setting) Problems {
+	var problems Problems
+	for _, s := range settings {
+		release, err := ident.ParseRelease(s.key)
+		if s.table != kindWithdrawn || err != nil {
+			continue
+		}
+		m, known := c.Models[release.Model]
+		switch {
+		case !known:
+			what := fmt.Sprintf("model %q is not declared", release.Model)
+			problems = append(problems, Problem{File: OverlayPath, Key: s.Key(), What: what, Accepted: declared(c.Models)})
+		case !contains(m.Versions, release.Version):
+			what := fmt.Sprintf("%q is not a version of model %q", release.Version, release.Model)
+			problems = append(problems, Problem{File: OverlayPath, Key: s.Key(), What: what, Accepted: list(m.Versions)})
+		}
+	}
+	return problems
+}
+
 // Stale gives the settings that drop overlay entries whose object or version
 // the other files no longer declare. Withdrawals are never stale.
 func Stale(files []File) []Setting {
--- a/internal/publsh/publish.go
+++ b/internal/publsh/publish.go
@@ -32,24 +32,38 @@
 	m := New(request)
 	var event Event = Begin{}
 	for {
-		switch a := m.Step(p.now(), event).(type) {
-		case ReadHead:
-			if err := p.sleep(ctx, a.After); err != nil {
-				return Result{}, fmt.Errorf("publish: %w", err)
-			}
-			event = p.readHead(ctx)
-		case ReadParts:
-			event = p.readParts(ctx, a)
-		case WriteParts:
-			event = p.writeParts(ctx, a)
-		case WriteHead:
-			event = p.writeHead(ctx, a)
+		action := m.Step(p.now(), event)
+		switch a := action.(type) {
 		case Finish:
 			return a.Result, nil
 		case Fail:
 			return Result{}, fmt.Errorf("publish: %w", a.Err)
 		}
+		next, err := p.Do(ctx, action)
+		if err != nil {
+			return Result{}, fmt.Errorf("publish: %w", err)
+		}
+		event = next
+	}
+}
+
+// Do carries out one action of a machine and gives what came of it. It fails
+// if ctx ends during a pause.
+func (p *Publisher) Do(ctx context.Context, action Action) (Event, error) {
+	switch a := action.(type) {
+	case ReadHead:
+		if err := p.sleep(ctx, a.After); err != nil {
+			return nil, err
+		}
+		return p.readHead(ctx), nil
+	case ReadParts:
+		return p.readParts(ctx, a), nil
+	case WriteParts:
+		return p.writeParts(ctx, a), nil
+	case WriteHead:
+		return p.writeHead(ctx, a), nil
 	}
+	return nil, fmt.Errorf("action %T can't be carried out", action)
 }
 
 // CurrentHead gives the head in force and its version, or version 0 if nothing
--- /dev/null
+++ b/internal/publsh/race_test.go
@@ -0,0 +1,200 @@
+package publsh_test
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"testing"
+
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+
+	"github.com/marigoldscale/marigoldscale/internal/config"
+	"github.com/marigoldscale/marigoldscale/internal/plat"
+	"github.com/marigoldscale/marigoldscale/internal/publsh"
+	"github.com/marigoldscale/marigoldscale/internal/stand"
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+// lossy is a platform whose writes fail in every way: without effect, with
+// effect and a lost answer, or with an effect that comes later.
+type lossy struct {
+	plat.Platform
+	t     *rapid.T
+	late  []func()
+	heads []plat.Head // every head that took effect
+}
+
+func (l *lossy) Put(ctx context.Context, class plat.Class, key plat.Key, value []byte, expect plat.Version) (plat.Version, error) {
+	write := func() (plat.Version, error) {
+		version, err := l.Platform.Put(ctx, class, key, value, expect)
+		if err == nil && key == plat.HeadKey {
+			var head plat.Head
+			if err := json.Unmarshal(value, &head); err != nil {
+				l.t.Fatal(err)
+			}
+			l.heads = append(l.heads, head)
+		}
+		return version, err
+	}
+	switch rapid.SampledFrom([]string{"fine", "fine", "fine", "away", "lost", "late"}).Draw(l.t, "write") {
+	case "away":
+		return 0, plat.ErrUnavailable
+	case "lost":
+		_, _ = write()
+		return 0, plat.ErrUncertain
+	case "late":
+		l.late = append(l.late, func() { _, _ = write() })
+		return 0, plat.ErrUncertain
+	}
+	return write()
+}
+
+// land lets one delayed write take effect.
+func (l *lossy) land(i int) {
+	write := l.late[i]
+	l.late = append(l.late[:i:i], l.late[i+1:]...)
+	write()
+}
+
+// writer is one operator's publication under way.
+type writer struct {
+	name    string
+	files   []config.File
+	machine *publsh.Machine
+	event   publsh.Event
+	result  *publsh.Result
+	err     error
+	began   int // heads when it began
+}
+
+func (w *writer) ended() bool { return w.result != nil || w.err != nil }
+
+// step makes one step and carries out what it asks for.
+func (w *writer) step(t *rapid.T, p *publsh.Publisher) {
+	switch a := w.machine.Step(epoch, w.event).(type) {
+	case publsh.Finish:
+		w.result = &a.Result
+	case publsh.Fail:
+		w.err = a.Err
+	default:
+		event, err := p.Do(context.Background(), a)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.event = event
+	}
+}
+
+func (w *writer) in(head plat.Head) bool {
+	digests := map[string]string{}
+	for _, f := range head.Files {
+		digests[f.Path] = f.Digest
+	}
+	for _, f := range w.files {
+		if digests[f.Path] != config.TextDigest(f.Text) {
+			return false
+		}
+	}
+	return true
+}
+
+// TestRace runs operators step by step against a lossy platform. No head may
+// lack a part or a generation, no change may be lost or undone unseen, and what
+// is reported must be so.
+func TestRace(t *testing.T) {
+	fixSeed(t)
+	rapid.Check(t, func(t *rapid.T) {
+		l := &lossy{Platform: stand.NewStore(now), t: t}
+		p := publsh.NewPublisher(l, now, noSleep)
+		shared := rapid.Bool().Draw(t, "same file")
+		var writers []*writer
+		for i := range rapid.IntRange(2, 3).Draw(t, "operators") {
+			name := fmt.Sprintf("w%d", i)
+			files := []config.File{team(name, "1")}
+			if shared {
+				files = append(files, team("both", fmt.Sprint(i+1)))
+			}
+			request := publsh.Request{Change: publsh.Tree{Files: files}, By: name, Nonce: name}
+			writers = append(writers, &writer{name: name, files: files, machine: publsh.New(request), event: publsh.Begin{}})
+		}
+		for open := len(writers); open > 0; {
+			if len(l.late) > 0 && rapid.Bool().Draw(t, "land") {
+				l.land(rapid.IntRange(0, len(l.late)-1).Draw(t, "which"))
+				continue
+			}
+			w := writers[rapid.IntRange(0, len(writers)-1).Draw(t, "who")]
+			if w.ended() {
+				continue
+			}
+			if _, first := w.event.(publsh.Begin); first {
+				w.began = len(l.heads)
+			}
+			w.step(t, p)
+			if w.ended() {
+				open--
+			}
+		}
+		checkHeads(t, l, writers)
+		for _, w := range writers {
+			checkReport(t, l, w)
+		}
+	})
+}
+
+// fixSeed makes the runs the same each time, unless a seed is given by flag.
+func fixSeed(t *testing.T) {
+	seed := flag.Lookup("rapid.seed").Value
+	if seed.String() == "0" {
+		if err := seed.Set("20260102"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	t.Logf("rapid seed %s", seed)
+}
+
+func checkHeads(t *rapid.T, l *lossy, writers []*writer) {
+	for i, head := range l.heads {
+		if head.Generation != ident.Generation(i+1) {
+			t.Fatalf("head %d has generation %d", i, head.Generation)
+		}
+		if _, err := publsh.Fetch(context.Background(), l.Platform, head); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, w := range writers {
+		in := false
+		for _, head := range l.heads {
+			own := w.files[:1] // only this operator writes its own file
+			now := (&writer{files: own}).in(head)
+			if in && !now {
+				t.Fatalf("generation %d lost the file of %s", head.Generation, w.name)
+			}
+			in = now
+		}
+	}
+}
+
+func checkReport(t *rapid.T, l *lossy, w *writer) {
+	writes := 0
+	for _, head := range l.heads {
+		if head.Nonce == w.name {
+			writes++
+		}
+	}
+	if writes > 1 {
+		t.Fatalf("%s put %d generations in force", w.name, writes)
+	}
+	var conflict *publsh.Conflict
+	switch {
+	case w.result != nil:
+		if !w.in(l.heads[w.result.Generation-1]) {
+			t.Fatalf("%s reports generation %d, which lacks its files", w.name, w.result.Generation)
+		}
+	case errors.As(w.err, &conflict) && !conflict.Uncertain:
+		if writes > 0 {
+			t.Fatalf("%s reports a conflict, but its change was in force", w.name)
+		}
+	}
+}
