--- a/internal/cmd/admin.go
+++ b/internal/cmd/admin.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"sort"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -17,13 +18,14 @@
 )
 
 const (
-	adminTimeout = 2 * time.Second // of one call
+	askTimeout   = 2 * time.Second // of a call for status
+	orderTimeout = 8 * time.Second // of other calls, some of which wait for all routers
 	maxReply     = 64 << 20        // bytes
 )
 
 // ask makes one call of a router's admin API.
-func (r *Run) ask(ctx context.Context, method, url string, body, reply any) error {
-	ctx, cancel := context.WithTimeout(ctx, adminTimeout)
+func (r *Run) ask(ctx context.Context, timeout time.Duration, method, url string, body, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	text, err := json.Marshal(body)
 	if err != nil {
@@ -59,7 +61,7 @@
 	}
 	err := fmt.Errorf("%s answers %d: %s", url, code, f.Error)
 	if code >= http.StatusInternalServerError {
-		return &reachError{err: err}
+		return &reachError{err: err, alive: true}
 	}
 	return err
 }
@@ -71,7 +73,7 @@
 	}
 	var last error
 	for _, admin := range r.settings.Admin {
-		last = r.ask(r.ctx, method, admin+path, body, reply)
+		last = r.ask(r.ctx, orderTimeout, method, admin+path, body, reply)
 		var reach *reachError
 		if !errors.As(last, &reach) {
 			return last
@@ -87,39 +89,37 @@
 	return nil
 }
 
+// view is what one named router answered.
+type view struct {
+	admin  string // URL
+	status status.Status
+	err    error
+}
+
 // views asks every named router for its status, all at once. It fails only if
 // none answers.
-func (r *Run) views(ctx context.Context) ([]status.Status, error) {
-	type answer struct {
-		view status.Status
-		err  error
-	}
-	answers := make(chan answer, len(r.settings.Admin))
-	for _, admin := range r.settings.Admin {
-		go func() {
-			var a answer
-			a.err = r.ask(ctx, http.MethodGet, admin+"/v1/status", nil, &a.view)
-			answers <- a
-		}()
-	}
-	var views []status.Status
+func (r *Run) views(ctx context.Context) ([]view, error) {
+	answers := make([]view, len(r.settings.Admin))
+	var group sync.WaitGroup
+	for i, admin := range r.settings.Admin {
+		group.Go(func() {
+			answers[i].admin = admin
+			answers[i].err = r.ask(ctx, askTimeout, http.MethodGet, admin+"/v1/status", nil, &answers[i].status)
+		})
+	}
+	group.Wait()
 	var last error
-	for range r.settings.Admin {
-		a := <-answers
-		if a.err != nil {
-			last = a.err
-			continue
+	for _, a := range answers {
+		if a.err == nil {
+			return answers, nil
 		}
-		views = append(views, a.view)
-	}
-	if len(views) == 0 {
-		return nil, last
+		last = a.err
 	}
-	sort.Slice(views, func(i, j int) bool { return views[i].Self < views[j].Self })
-	return views, nil
+	return nil, last
 }
 
-// routers gives all live routers that the named ones know.
+// routers gives all live routers that the named ones know. A named router that
+// answers, but has no configuration yet, counts as one of generation 0.
 func (r *Run) routers(ctx context.Context) ([]status.Router, error) {
 	views, err := r.views(ctx)
 	if err != nil {
@@ -130,13 +130,17 @@
 
 // merge joins views: a router's own entry goes before what others last heard of
 // it, and among the others the newest heartbeat counts.
-func merge(views []status.Status) []status.Router {
+func merge(views []view) []status.Router {
 	known := map[ident.RouterID]status.Router{}
 	own := map[ident.RouterID]bool{}
 	for _, v := range views {
-		for _, router := range v.Routers {
+		var reach *reachError
+		if errors.As(v.err, &reach) && reach.alive {
+			known[ident.RouterID(v.admin)] = status.Router{ID: ident.RouterID(v.admin), Admin: v.admin}
+		}
+		for _, router := range v.status.Routers {
 			old, seen := known[router.ID]
-			self := router.ID == v.Self
+			self := router.ID == v.status.Self
 			if self || !seen || !own[router.ID] && router.Seen.After(old.Seen) {
 				known[router.ID] = router
 				own[router.ID] = own[router.ID] || self
@@ -150,3 +154,15 @@
 	sort.Slice(all, func(i, j int) bool { return all[i].ID < all[j].ID })
 	return all
 }
+
+// silent names the routers that did not answer at all.
+func silent(views []view) []string {
+	var names []string
+	for _, v := range views {
+		var reach *reachError
+		if errors.As(v.err, &reach) && !reach.alive {
+			names = append(names, v.admin)
+		}
+	}
+	return names
+}
--- a/internal/cmd/cmd_status.go
+++ b/internal/cmd/cmd_status.go
@@ -28,13 +28,25 @@
 	if err != nil {
 		return err
 	}
-	view := views[0]
-	view.Routers = merge(views)
+	for _, name := range silent(views) {
+		r.note("%s does not answer", name)
+	}
+	seen := firstAnswer(views)
+	seen.Routers = merge(views)
 	if r.flags.JSON {
-		return r.printJSON(view)
+		return r.printJSON(seen)
+	}
+	fmt.Fprintf(r.Out, "as %s sees it; platform %s\n\n", seen.Self, r.platformLine(seen.Platform))
+	return r.printTables(r.routerTable(seen), endpointTable(seen), zoneTable(seen), rolloutTable(seen), r.withdrawnTable(seen))
+}
+
+func firstAnswer(views []view) status.Status {
+	for _, v := range views {
+		if v.err == nil {
+			return v.status
+		}
 	}
-	fmt.Fprintf(r.Out, "as %s sees it; platform %s\n\n", view.Self, r.platformLine(view.Platform))
-	return r.printTables(r.routerTable(view), endpointTable(view), zoneTable(view), rolloutTable(view), r.withdrawnTable(view))
+	return status.Status{}
 }
 
 func (r *Run) platformLine(p status.Platform) string {
@@ -44,18 +56,18 @@
 	return "not reachable, last change " + r.ago(p.Since)
 }
 
-func (r *Run) routerTable(view status.Status) *table {
+func (r *Run) routerTable(seen status.Status) *table {
 	t := newTable("ROUTERS", "ID", "ZONE", "GENERATION", "CONFIRMED", "SERVING", "STOPPING", "HEARD")
-	for _, router := range view.Routers {
+	for _, router := range seen.Routers {
 		t.add(string(router.ID), string(router.Zone), fmt.Sprint(router.Generation), r.ago(router.Confirmed),
 			yes(router.Serving), yes(router.Stopping), r.ago(router.Seen))
 	}
 	return t
 }
 
-func endpointTable(view status.Status) *table {
+func endpointTable(seen status.Status) *table {
 	t := newTable("ENDPOINTS", "ID", "ZONE", "RUNS", "PHASE", "LEAVING", "RUNNING", "WAITING", "SLOTS")
-	for _, e := range view.Endpoints {
+	for _, e := range seen.Endpoints {
 		runs := e.Release
 		if runs == "" {
 			runs = string(e.Service)
@@ -66,26 +78,26 @@
 	return t
 }
 
-func zoneTable(view status.Status) *table {
+func zoneTable(seen status.Status) *table {
 	t := newTable("ZONES", "ID", "OUT", "ENDPOINTS", "IN FLIGHT")
-	for _, z := range view.Zones {
+	for _, z := range seen.Zones {
 		t.add(string(z.ID), yes(z.Out), fmt.Sprint(z.Endpoints), fmt.Sprint(z.Inflight))
 	}
 	return t
 }
 
-func rolloutTable(view status.Status) *table {
+func rolloutTable(seen status.Status) *table {
 	t := newTable("ROLL-OUTS", "MODEL", "TO", "STEP", "SHARE", "FULL", "PAUSED", "ABORTED")
-	for _, o := range view.Rollouts {
+	for _, o := range seen.Rollouts {
 		t.add(string(o.Model), string(o.To), fmt.Sprintf("%d of %d", min(o.Step+1, o.Steps), o.Steps),
 			fmt.Sprintf("%.0f%%", 100*float64(o.Share)), yes(o.Full), yes(o.Paused), yes(o.Aborted))
 	}
 	return t
 }
 
-func (r *Run) withdrawnTable(view status.Status) *table {
+func (r *Run) withdrawnTable(seen status.Status) *table {
 	t := newTable("WITHDRAWN", "RELEASE", "BY", "WHEN", "REASON")
-	for _, w := range view.Withdrawn {
+	for _, w := range seen.Withdrawn {
 		t.add(w.Release.String(), w.By, r.ago(w.At), w.Reason)
 	}
 	return t
--- a/internal/cmd/exit.go
+++ b/internal/cmd/exit.go
@@ -31,9 +31,10 @@
 // Unwrap gives the fault.
 func (e *inputError) Unwrap() error { return e.err }
 
-// reachError is a router that can't be asked.
+// reachError is a router that can't be asked, or not now.
 type reachError struct {
-	err error
+	err   error
+	alive bool // it did answer
 }
 
 // Error gives the fault's text.
