--- a/internal/cmd/app_test.go
+++ b/internal/cmd/app_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/marigoldscale/marigoldscale/internal/cmd"
 	"github.com/marigoldscale/marigoldscale/internal/config"
+	"github.com/marigoldscale/marigoldscale/internal/input"
 	"github.com/marigoldscale/marigoldscale/internal/plat"
 	"github.com/marigoldscale/marigoldscale/internal/publsh"
 	"github.com/marigoldscale/marigoldscale/internal/shard"
@@ -256,4 +257,20 @@
 		Expect(run("--version")).To(Equal(0))
 		Expect(out.String()).To(Equal("1.2.3\n"))
 	})
+
+	It("has a manual page that is up to date; go run ./man/gen writes it", func() {
+		page, err := os.ReadFile("../../man/marigoldscale.1")
+		Expect(err).NotTo(HaveOccurred())
+		var want bytes.Buffer
+		Expect(cmd.New(cmd.World("")).Manual(&want)).To(Succeed())
+		Expect(string(page)).To(Equal(want.String()))
+	})
+
+	It("has every key of its settings on the page of keys", func() {
+		page, err := os.ReadFile("../../docs/CONFIG.md")
+		Expect(err).NotTo(HaveOccurred())
+		for _, key := range input.Keys(cmd.SettingsFields()) {
+			Expect(string(page)).To(ContainSubstring(key.Row()), key.Name)
+		}
+	})
 })
--- /dev/null
+++ b/internal/cmd/manual.go
@@ -0,0 +1,140 @@
+package cmd
+
+import (
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/alecthomas/kong"
+)
+
+// Manual writes the manual page of the command line as roff.
+func (a *App) Manual(w io.Writer) error {
+	parser, err := a.Parser()
+	if err != nil {
+		return err
+	}
+	p := &page{}
+	p.line(`.\" Written by go run ./man/gen; change the commands, not this page.`)
+	p.line(`.TH MARIGOLDSCALE 1 "" "marigoldscale" "User Commands"`)
+	p.section("NAME")
+	p.line(`marigoldscale \- check, publish and inspect the configuration of routers`)
+	p.section("SYNOPSIS")
+	p.line(`.B marigoldscale`)
+	p.line(`[\fIflags\fR] \fIcommand\fR [\fIarguments\fR]`)
+	p.section("DESCRIPTION")
+	p.text(parser.Model.Help)
+	p.section("COMMANDS")
+	for _, n := range parser.Model.Children {
+		p.command(n)
+	}
+	p.section("FLAGS OF ALL COMMANDS")
+	p.flags(parser.Model.Flags)
+	p.exits()
+	p.section("FILES")
+	p.text("marigoldscale.toml and *.marigold.toml, anywhere in a tree, are operators' files; docs/CONFIG.md gives every key.")
+	p.section("SEE ALSO")
+	p.line(`.BR marigoldscaled (1)`)
+	if _, err := io.WriteString(w, p.b.String()); err != nil {
+		return fmt.Errorf("write the manual: %w", err)
+	}
+	return nil
+}
+
+// page is a manual page under way.
+type page struct {
+	b strings.Builder
+}
+
+// line writes roff as it is.
+func (p *page) line(roff string) {
+	p.b.WriteString(roff + "\n")
+}
+
+func (p *page) section(title string) {
+	p.line(".SH " + title)
+}
+
+// text writes plain text; its indented lines stay as they are.
+func (p *page) text(plain string) {
+	open := false
+	for _, l := range strings.Split(plain, "\n") {
+		verbatim := strings.HasPrefix(l, "  ")
+		switch {
+		case verbatim && !open:
+			p.line(".nf")
+		case !verbatim && open:
+			p.line(".fi")
+		case l == "":
+			p.line(".PP")
+			continue
+		}
+		open = verbatim
+		p.line(escapeRoff(l))
+	}
+	if open {
+		p.line(".fi")
+	}
+}
+
+// command writes a command, or each of its own commands.
+func (p *page) command(n *kong.Node) {
+	p.line(".SS " + escapeRoff(usage(n)))
+	p.text(n.Help)
+	if n.Detail != "" {
+		p.line(".PP")
+		p.text(n.Detail)
+	}
+	for _, a := range n.Positional {
+		p.item(a.Summary(), a.Help)
+	}
+	p.flags(n.Flags)
+	for _, child := range n.Children {
+		p.command(child)
+	}
+}
+
+func (p *page) flags(flags []*kong.Flag) {
+	for _, f := range flags {
+		help := f.Help
+		if len(f.Envs) > 0 {
+			help += " Environment variable " + strings.Join(f.Envs, ", ") + "."
+		}
+		p.item(f.String(), help)
+	}
+}
+
+func (p *page) item(term, help string) {
+	p.line(".TP")
+	p.line(`.B ` + escapeRoff(term))
+	p.line(escapeRoff(help))
+}
+
+func (p *page) exits() {
+	p.section("EXIT STATUS")
+	p.item(fmt.Sprint(exitOK), "Done.")
+	p.item(fmt.Sprint(exitRefused), "Refused by the rules, or in conflict with another change.")
+	p.item(fmt.Sprint(exitInput), "Bad input: flags, settings or files.")
+	p.item(fmt.Sprint(exitReach), "The platform or the routers can't be reached.")
+	p.item(fmt.Sprint(exitBehind), "Accepted, but not in force on every router in time.")
+}
+
+func usage(n *kong.Node) string {
+	words := []string{n.Name}
+	for parent := n.Parent; parent != nil && parent.Parent != nil; parent = parent.Parent {
+		words = append([]string{parent.Name}, words...)
+	}
+	for _, a := range n.Positional {
+		words = append(words, a.Summary())
+	}
+	return strings.Join(words, " ")
+}
+
+func escapeRoff(plain string) string {
+	plain = strings.ReplaceAll(plain, `\`, `\e`)
+	plain = strings.ReplaceAll(plain, "-", `\-`)
+	if strings.HasPrefix(plain, ".") || strings.HasPrefix(plain, "'") {
+		return `\&` + plain
+	}
+	return plain
+}
--- /dev/null
+++ b/man/gen/main.go
@@ -0,0 +1,27 @@
+// Gen writes the manual page of the operators' command line.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/marigoldscale/marigoldscale/internal/cmd"
+)
+
+func main() {
+	if err := write("man/marigoldscale.1"); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func write(path string) error {
+	f, err := os.Create(path)
+	if err != nil {
+		return fmt.Errorf("write the manual: %w", err)
+	}
+	if err := cmd.New(cmd.World("")).Manual(f); err != nil {
+		return err
+	}
+	return f.Close()
+}
