Let overlay entries give way to newer words of the operators' files

An entry of the overlay hid later edits of the same zone or roll-out in the operators' own files, silently and for good.

Broken to see the tests fail: the Out, To and Aborted comparisons of changed, the withdrawn case of overlayDefault, the old files given to Stale, and the releases given to noteWithdrawn.

--- a/internal/cmd/app_test.go
+++ b/internal/cmd/app_test.go
@@ -52,6 +52,9 @@
 			return
 		}
 		s := status.Status{Self: "r1", Routers: []status.Router{{ID: "r1", Zone: "lima-sur", Generation: head.Generation, Serving: true}}}
+		for _, w := range r.withdrawn {
+			s.Withdrawn = append(s.Withdrawn, status.WithdrawnEntry{Release: w.Release, Reason: w.Reason, By: w.By})
+		}
 		for range r.lag {
 			s.Routers = append(s.Routers, status.Router{ID: "r2", Zone: "lima-norte"})
 		}
@@ -210,6 +213,8 @@
 		Expect(run("withdraw", "condor@v3", "--reason", "wrong totals", "--default", "v4")).To(Equal(0), errs)
 		Expect(run("publish", tree)).To(Equal(0), errs)
 		Expect(inForce().Generation).To(Equal(ident.Generation(2)), "a publication does not undo it")
+		Expect(run("publish", "--restore", "condor@v3", tree)).To(Equal(0), errs)
+		Expect(errs.String()).To(ContainSubstring("condor@v3 stays withdrawn by rosa (wrong totals); publish it under a new version name"))
 	})
 
 	It("adds up bills by team and item", func() {
--- a/internal/cmd/cmd_publish.go
+++ b/internal/cmd/cmd_publish.go
@@ -61,12 +61,32 @@
 	for _, path := range result.Kept {
 		r.note("kept, though not in this tree: %s", path)
 	}
+	r.noteWithdrawn(tree.Restore)
 	if r.flags.JSON {
 		return r.printJSON(result)
 	}
 	return nil
 }
 
+// noteWithdrawn says which restored releases the routers hold withdrawn all the
+// same: what they or an operator's withdraw have spread is never undone.
+func (r *Run) noteWithdrawn(restored []ident.Release) {
+	if len(restored) == 0 {
+		return
+	}
+	views, err := r.views(r.ctx)
+	if err != nil {
+		return // the wait has reported it
+	}
+	for _, w := range firstAnswer(views).Withdrawn {
+		for _, release := range restored {
+			if w.Release == release {
+				r.note("%s stays withdrawn by %s (%s); publish it under a new version name", release, w.By, w.Reason)
+			}
+		}
+	}
+}
+
 func (c *Publish) tree() (publsh.Tree, error) {
 	files, err := collect(c.Dir)
 	if err != nil {
--- a/internal/config/fuzz_test.go
+++ b/internal/config/fuzz_test.go
@@ -36,6 +36,6 @@
 			}
 		}
 		_ = config.Withdrawn(files)
-		_ = config.Stale(files)
+		_ = config.Stale(nil, files)
 	})
 }
--- a/internal/config/load_test.go
+++ b/internal/config/load_test.go
@@ -206,7 +206,7 @@
 		gone := ident.Release{Model: "gone", Version: "v1"}
 		overlay := apply(config.Out("norte", true), config.Out("sur", true), config.Start(gone),
 			config.Hold("gone", config.HoldPaused), config.Withdraw(gone, "bad"))
-		stale := config.Stale([]config.File{file("a", sound), overlay})
+		stale := config.Stale([]config.File{file("a", sound)}, []config.File{file("a", sound), overlay})
 		text, err := config.Apply(overlay.Text, stale)
 		Expect(err).NotTo(HaveOccurred())
 		_, problems := config.Load([]config.File{file("a", sound), {Path: config.OverlayPath, Text: text}})
@@ -214,6 +214,25 @@
 		Expect(string(text)).To(ContainSubstring("sur = true"))
 		Expect(string(text)).To(ContainSubstring("gone@v1"))
 	})
+
+	It("gives way when the operators' own file says something new", func() {
+		files := func(zone, rollout string, overlay config.File) []config.File {
+			return []config.File{file("a", strings.Replace(sound, "[zone.sur]", "[zone.sur]\nout = "+zone, 1)), file("b", "[rollout.condor]\n"+rollout), overlay}
+		}
+		overlay := apply(config.Out("sur", false), config.Start(release), config.Hold("condor", config.HoldPaused))
+		old := files("false", "to = \"v2\"", overlay)
+		Expect(config.Stale(old, old)).To(BeEmpty())
+		Expect(config.Stale(old, files("true", "to = \"v2\"", overlay))).To(HaveLen(1))
+		Expect(config.Stale(old, files("false", "to = \"v1\"", overlay))).To(HaveLen(2))
+		Expect(config.Stale(old, files("false", "to = \"v2\"\naborted = true", overlay))).To(HaveLen(2))
+	})
+
+	It("sets a default only in place of a withdrawn one", func() {
+		overlay := apply(config.DefaultTo(release))
+		c, problems := config.Load([]config.File{file("a", sound), overlay})
+		Expect(problems).To(BeEmpty())
+		Expect(c.Models["condor"].Default).To(Equal(ident.VersionID("v1")))
+	})
 })
 
 var _ = Describe("Diff", func() {
--- a/internal/config/overlay.go
+++ b/internal/config/overlay.go
@@ -15,18 +15,18 @@
 )
 
 // overlay applies the tables by which commands change declared objects without
-// an edit of the operators' own files. Order matters: a roll-out is started
-// before it is held.
+// an edit of the operators' own files. Order matters: a default stands in for
+// one that is withdrawn, and a roll-out is started before it is held.
 func (b *builder) overlay() {
 	for _, o := range b.sorted(kindOut) {
 		b.overlayOut(o)
 	}
-	for _, o := range b.sorted(kindDefault) {
-		b.overlayDefault(o)
-	}
 	for _, o := range b.sorted(kindWithdrawn) {
 		b.overlayWithdrawn(o)
 	}
+	for _, o := range b.sorted(kindDefault) {
+		b.overlayDefault(o)
+	}
 	for _, o := range b.sorted(kindStart) {
 		b.overlayStart(o)
 	}
@@ -56,7 +56,7 @@
 		b.overlayProblem(o, "value is not accepted", "a version of the model")
 	case !known:
 		b.overlayProblem(o, fmt.Sprintf("model %q is not declared", o.name), declared(b.config.Models))
-	default:
+	case contains(m.Withdrawn, m.Default):
 		m.Default = ident.VersionID(version)
 	}
 }
--- a/internal/config/setting.go
+++ b/internal/config/setting.go
@@ -130,20 +130,16 @@
 	return problems
 }
 
-// Stale gives the settings that drop overlay entries whose object or version
-// the other files no longer declare. Withdrawals are never stale.
-func Stale(files []File) []Setting {
-	b := newBuilder()
-	for _, f := range files {
-		b.read(f)
-	}
-	b.buildZones()
-	b.buildModels()
-	b.buildRollouts()
+// Stale gives the settings that drop overlay entries which have lost their
+// ground from the old files to those of now: their object or version is no
+// longer declared, or its own file says something new. Withdrawals are never
+// stale.
+func Stale(old, now []File) []Setting {
+	before, b := declaredBy(old), declaredBy(now)
 	var stale []Setting
 	for _, k := range overlayKinds() {
 		for _, o := range b.sorted(k) {
-			if b.stale(o) {
+			if b.stale(o) || b.changed(o, before) {
 				stale = append(stale, Setting{table: k, key: o.name, remove: true})
 			}
 		}
@@ -151,6 +147,32 @@
 	return stale
 }
 
+// declaredBy builds what the files declare without their overlay.
+func declaredBy(files []File) *builder {
+	b := newBuilder()
+	for _, f := range files {
+		b.read(f)
+	}
+	b.buildZones()
+	b.buildModels()
+	b.buildRollouts()
+	return b
+}
+
+// changed tells whether an operators' file now says something else about what
+// the overlay entry sets, so that the newer word is the file's.
+func (b *builder) changed(o *object, before *builder) bool {
+	switch o.kind {
+	case kindOut:
+		was, is := before.config.Zones[ident.ZoneID(o.name)], b.config.Zones[ident.ZoneID(o.name)]
+		return was != nil && is != nil && was.Out != is.Out
+	case kindStart, kindHold:
+		was, is := before.config.Rollouts[ident.ModelID(o.name)], b.config.Rollouts[ident.ModelID(o.name)]
+		return is != nil && (was == nil || was.To != is.To || was.Paused != is.Paused || was.Aborted != is.Aborted)
+	}
+	return false
+}
+
 func (b *builder) stale(o *object) bool {
 	model := b.config.Models[ident.ModelID(o.name)]
 	switch o.kind {
--- a/internal/publsh/aim.go
+++ b/internal/publsh/aim.go
@@ -46,7 +46,7 @@
 	for _, release := range tree.Restore {
 		settings = append(settings, config.Restore(release))
 	}
-	settings = append(settings, config.Stale(m.texted(target))...)
+	settings = append(settings, config.Stale(m.texted(filesOf(m.head)), m.texted(target))...)
 	target, err := m.setOverlay(target, settings)
 	if err != nil {
 		return nil, err
--- a/internal/publsh/publish_test.go
+++ b/internal/publsh/publish_test.go
@@ -299,6 +299,17 @@
 			}
 		})
 
+		It("give way to a newer word of the operators' file", func() {
+			_, err := publish("luis", edit(config.Out("sur", false)))
+			Expect(err).NotTo(HaveOccurred())
+			out := strings.Replace(models, "[zone.sur]", "[zone.sur]\nout = true", 1)
+			_, err = publish("ana", publsh.Tree{Files: []config.File{file("m.toml", out)}})
+			Expect(err).NotTo(HaveOccurred())
+			c, err := publsh.Fetch(ctx, store, head())
+			Expect(err).NotTo(HaveOccurred())
+			Expect(c.Zones["sur"].Out).To(BeTrue())
+		})
+
 		It("lose their object when a tree drops it", func() {
 			_, err := publish("luis", edit(config.Out("sur", true)))
 			Expect(err).NotTo(HaveOccurred())
