Wait for no router that must have stopped serving, and give up sooner

A trial with three real routers, a store stand-in and a killed router showed publish waiting for the dead one for as long as the others remembered it, a minute; and with a stopped platform it took 96 s to give up, since thirteen tries had three reads of 2 s each. A router unheard for twice times.stale is now named apart; the status gained that time, and a router that does not send it is taken for the longest. A publication gives up 10 s after the first of the failures in a row.

--- a/internal/cmd/admin.go
+++ b/internal/cmd/admin.go
@@ -118,43 +118,78 @@
 	return nil, last
 }
 
-// routers gives all live routers that the named ones know. A named router that
-// answers, but has no configuration yet, counts as one of generation 0.
+// routers gives the routers that can have a configuration in force. A named
+// router that answers, but has no configuration yet, counts as one of
+// generation 0. A router that nobody has heard for long is gone or has stopped
+// serving, and is left out.
 func (r *Run) routers(ctx context.Context) ([]status.Router, error) {
 	views, err := r.views(ctx)
 	if err != nil {
 		return nil, err
 	}
-	return merge(views), nil
+	var live []status.Router
+	for _, s := range merge(views) {
+		if !s.lost() {
+			live = append(live, s.router)
+		}
+	}
+	return live, nil
+}
+
+// maxStale is the largest times.stale that a router's settings accept.
+const maxStale = time.Minute
+
+// sighting is the best that the views know of one router.
+type sighting struct {
+	router status.Router
+	age    time.Duration // since it was last heard
+	stale  time.Duration // after which it stops serving when cut off
+}
+
+// lost tells whether a router has been silent for so long that, if it lives, it
+// has stopped serving; twice the time allows for clocks of unlike speed.
+func (s sighting) lost() bool {
+	return s.age > 2*s.stale
 }
 
 // merge joins views: a router's own entry goes before what others last heard of
-// it, and among the others the newest heartbeat counts.
-func merge(views []view) []status.Router {
-	known := map[ident.RouterID]status.Router{}
-	own := map[ident.RouterID]bool{}
+// it, and among the others the latest counts.
+func merge(views []view) []sighting {
+	known := map[ident.RouterID]sighting{}
 	for _, v := range views {
 		var reach *reachError
 		if errors.As(v.err, &reach) && reach.alive {
-			known[ident.RouterID(v.admin)] = status.Router{ID: ident.RouterID(v.admin), Admin: v.admin}
+			id := ident.RouterID(v.admin)
+			known[id] = sighting{router: status.Router{ID: id, Admin: v.admin}, age: -1, stale: maxStale}
 		}
 		for _, router := range v.status.Routers {
-			old, seen := known[router.ID]
-			self := router.ID == v.status.Self
-			if self || !seen || !own[router.ID] && router.Seen.After(old.Seen) {
-				known[router.ID] = router
-				own[router.ID] = own[router.ID] || self
+			s := see(v.status, router)
+			if old, seen := known[router.ID]; !seen || s.age < old.age {
+				known[router.ID] = s
 			}
 		}
 	}
-	all := make([]status.Router, 0, len(known))
-	for _, router := range known {
-		all = append(all, router)
+	all := make([]sighting, 0, len(known))
+	for _, s := range known {
+		all = append(all, s)
 	}
-	sort.Slice(all, func(i, j int) bool { return all[i].ID < all[j].ID })
+	sort.Slice(all, func(i, j int) bool { return all[i].router.ID < all[j].router.ID })
 	return all
 }
 
+// see gives a view's knowledge of one router; of itself it is exact.
+func see(s status.Status, router status.Router) sighting {
+	stale := s.Stale
+	if stale <= 0 {
+		stale = maxStale
+	}
+	age := max(s.At.Sub(router.Seen), 0)
+	if router.ID == s.Self {
+		age = -1
+	}
+	return sighting{router: router, age: age, stale: stale}
+}
+
 // silent names the routers that did not answer at all.
 func silent(views []view) []string {
 	var names []string
--- a/internal/cmd/app_test.go
+++ b/internal/cmd/app_test.go
@@ -33,7 +33,8 @@
 type router struct {
 	mutex     sync.Mutex
 	store     *stand.Store
-	lag       int // peers that stay at generation 0
+	lag       int           // peers that stay at generation 0
+	silent    time.Duration // since these peers were last heard
 	withdrawn []status.WithdrawRequest
 }
 
@@ -51,12 +52,13 @@
 			reply(http.StatusServiceUnavailable, status.Failure{Error: "no configuration"})
 			return
 		}
-		s := status.Status{Self: "r1", Routers: []status.Router{{ID: "r1", Zone: "lima-sur", Generation: head.Generation, Serving: true}}}
+		at := time.Unix(1000, 0)
+		s := status.Status{Self: "r1", At: at, Stale: 4 * time.Second, Routers: []status.Router{{ID: "r1", Zone: "lima-sur", Generation: head.Generation, Serving: true}}}
 		for _, w := range r.withdrawn {
 			s.Withdrawn = append(s.Withdrawn, status.WithdrawnEntry{Release: w.Release, Reason: w.Reason, By: w.By})
 		}
 		for range r.lag {
-			s.Routers = append(s.Routers, status.Router{ID: "r2", Zone: "lima-norte"})
+			s.Routers = append(s.Routers, status.Router{ID: "r2", Zone: "lima-norte", Seen: at.Add(-r.silent)})
 		}
 		reply(http.StatusOK, s)
 	case "/v1/withdraw":
@@ -158,6 +160,23 @@
 		Expect(run("publish", "--wait", "0", tree)).To(Equal(0))
 	})
 
+	It("does not wait for a router that must have stopped serving, but names it", func() {
+		fake.lag = 1
+		fake.silent = 8 * time.Second
+		patience = moment.Add(time.Second)
+		Expect(run("publish", tree)).To(Equal(4), "twice times.stale has not passed")
+		fake.silent++
+		patience = moment.Add(time.Second)
+		Expect(run("publish", tree)).To(Equal(0))
+		Expect(errs.String()).To(ContainSubstring("not waited for, since no router hears it: r2"))
+	})
+
+	It("names a router that the platform lists, but nobody hears", func() {
+		Expect(store.Announce(context.Background(), plat.ClassStatus, plat.Instance{ID: "r9"})).To(Succeed())
+		Expect(run("publish", tree)).To(Equal(0))
+		Expect(errs.String()).To(ContainSubstring("not waited for, since no router hears it: r9"))
+	})
+
 	It("counts a named router without a configuration as one that lags", func() {
 		empty := httptest.NewServer(&router{store: stand.NewStore(time.Now)})
 		DeferCleanup(empty.Close)
--- a/internal/cmd/cmd_bills.go
+++ b/internal/cmd/cmd_bills.go
@@ -5,13 +5,10 @@
 	"sort"
 	"time"
 
-	"github.com/marigoldscale/marigoldscale/internal/plat"
 	"github.com/marigoldscale/marigoldscale/internal/shard"
 	"github.com/marigoldscale/marigoldscale/pkg/ident"
 )
 
-const statusClass = plat.ClassStatus
-
 // Bills adds up the bills of the journal.
 type Bills struct {
 	Team  string    `help:"Only this team's bills."`
--- a/internal/cmd/cmd_status.go
+++ b/internal/cmd/cmd_status.go
@@ -32,7 +32,10 @@
 		r.note("%s does not answer", name)
 	}
 	seen := firstAnswer(views)
-	seen.Routers = merge(views)
+	seen.Routers = nil
+	for _, s := range merge(views) {
+		seen.Routers = append(seen.Routers, s.router)
+	}
 	if r.flags.JSON {
 		return r.printJSON(seen)
 	}
--- a/internal/cmd/force.go
+++ b/internal/cmd/force.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/marigoldscale/marigoldscale/internal/plat"
 	"github.com/marigoldscale/marigoldscale/internal/publsh"
 	"github.com/marigoldscale/marigoldscale/pkg/ident"
 )
@@ -27,7 +28,7 @@
 	publsh.Result
 	Everywhere bool     `json:"everywhere"`
 	Seconds    float64  `json:"seconds"` // until it was in force everywhere
-	Unheard    []string `json:"unheard"` // instances listed by the platform that no router hears
+	Unheard    []string `json:"unheard"` // routers that were not waited for, since no router hears them
 }
 
 // force puts a change in force and waits for the routers. A refused or
@@ -92,37 +93,46 @@
 	return p.Await(ctx, generation, r.routers, askEvery, report)
 }
 
-// unheard names the live instances of the platform's list that no router
-// hears. Such a router may be cut off; it stops serving by itself.
+// unheard names the routers that were not waited for: those that the platform
+// lists, but no router hears, and those last heard long ago. One that is alive
+// and cut off stops serving by itself.
 func (r *Run) unheard() []string {
-	platform, err := r.platform()
-	if err != nil {
-		return nil
-	}
-	instances, err := platform.Instances(r.ctx, statusClass)
-	if err != nil {
-		return nil
-	}
-	routers, err := r.routers(r.ctx)
+	views, err := r.views(r.ctx)
 	if err != nil {
 		return nil
 	}
+	names := []string{}
 	heard := map[string]bool{}
-	for _, router := range routers {
-		heard[string(router.ID)] = true
+	for _, s := range merge(views) {
+		heard[string(s.router.ID)] = true
+		if s.lost() {
+			names = append(names, string(s.router.ID))
+		}
 	}
-	var names []string
-	for _, i := range instances {
+	for _, i := range r.instances() {
 		if !i.Leaving && !heard[i.ID] {
 			names = append(names, i.ID)
 		}
 	}
 	if len(names) > 0 {
-		r.note("no router hears %s, which the platform still lists; if alive, it stops serving by itself", strings.Join(names, ", "))
+		r.note("not waited for, since no router hears it: %s; if it is alive, it has stopped serving", strings.Join(names, ", "))
 	}
 	return names
 }
 
+// instances gives the platform's list, or none if it can't be had.
+func (r *Run) instances() []plat.Instance {
+	platform, err := r.platform()
+	if err != nil {
+		return nil
+	}
+	instances, err := platform.Instances(r.ctx, plat.ClassStatus)
+	if err != nil {
+		return nil
+	}
+	return instances
+}
+
 func progressLine(p publsh.Progress) string {
 	if p.Asked != nil {
 		return fmt.Sprintf("waiting: %v", p.Asked)
--- a/internal/publsh/machine.go
+++ b/internal/publsh/machine.go
@@ -36,11 +36,13 @@
 	tried   ident.Generation
 	fails   int
 	moves   int
+	since   time.Time // of the first of the failures in a row; zero if there is none
 }
 
 const (
-	maxFails  = 12  // failed calls of one publication
-	maxMoves  = 200 // lost races of one publication
+	maxFails  = 12               // failed calls of one publication
+	maxMoves  = 200              // lost races of one publication
+	patience  = 10 * time.Second // with a platform that does not answer
 	pauseBase = 50 * time.Millisecond
 	pauseMax  = 2 * time.Second
 )
@@ -67,17 +69,20 @@
 		return m.again()
 	case HeadUnknown:
 		m.unknown = true
-		return m.retry(plat.ErrUncertain)
+		return m.retry(now, plat.ErrUncertain)
 	case Failed:
-		return m.retry(e.Err)
+		return m.retry(now, e.Err)
 	}
 	return Fail{Err: fmt.Errorf("event %T is not known", event)}
 }
 
 // retry starts again from the head, since whatever else is known may be old.
-func (m *Machine) retry(err error) Action {
+func (m *Machine) retry(now time.Time, err error) Action {
 	m.fails++
-	if m.fails <= maxFails {
+	if m.since.IsZero() {
+		m.since = now
+	}
+	if m.fails <= maxFails && now.Sub(m.since) < patience {
 		return ReadHead{After: m.pause()}
 	}
 	if m.unknown {
@@ -106,6 +111,7 @@
 }
 
 func (m *Machine) readHead(now time.Time, e HeadRead) Action {
+	m.since = time.Time{}
 	if e.Version != 0 && e.Head.Nonce == m.request.Nonce {
 		m.head = e.Head
 		return m.finish(e.Head.Generation)
@@ -146,7 +152,7 @@
 		m.texts[digest] = text
 	}
 	if len(m.missing()) > 0 {
-		return m.retry(plat.ErrAbsent)
+		return m.retry(now, plat.ErrAbsent)
 	}
 	return m.plan(now)
 }
--- a/internal/publsh/publish_test.go
+++ b/internal/publsh/publish_test.go
@@ -171,6 +171,15 @@
 		Expect(head().Generation).To(Equal(ident.Generation(2)))
 	})
 
+	It("gives up on a platform that does not answer for long", func() {
+		store.SetFaults(stand.Faults{Down: true})
+		began := epoch
+		clock := func() time.Time { began = began.Add(6 * time.Second); return began }
+		_, err := publsh.NewPublisher(store, clock, noSleep).Publish(ctx, publsh.Request{Change: publsh.Tree{}, Nonce: "n"})
+		Expect(errors.Is(err, plat.ErrUnavailable)).To(BeTrue())
+		Expect(began.Sub(epoch)).To(BeNumerically("<=", 30*time.Second), "calls of 6 s, and a patience of 10 s")
+	})
+
 	It("finds its own write by the nonce when the answer is lost", func() {
 		store.SetFaults(stand.Faults{Lose: 1000})
 		result, err := publish("luis", publsh.Tree{Files: []config.File{team("b", "1")}})
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -13,6 +13,7 @@
 	Self      ident.RouterID   `json:"self"`
 	At        time.Time        `json:"at"`
 	Digest    string           `json:"digest"` // of the configuration that Self runs
+	Stale     time.Duration    `json:"stale"`  // nanoseconds without confirmation after which a router stops serving
 	Routers   []Router         `json:"routers"`
 	Endpoints []Endpoint       `json:"endpoints"`
 	Zones     []Zone           `json:"zones"`
