--- a/internal/route/choice.go
+++ b/internal/route/choice.go
@@ -70,7 +70,7 @@
 	ReasonFit      Reason = "fit"
 	ReasonCold     Reason = "cold"     // suits, with a permit
 	ReasonFull     Reason = "full"     // at its limit
-	ReasonBusy     Reason = "busy"     // runs other work, and the request must run alone
+	ReasonBusy     Reason = "busy"     // one of two requests must run alone
 	ReasonZone     Reason = "zone"     // its availability zone is taken out
 	ReasonLeaving  Reason = "leaving"  // the endpoint is shutting down
 	ReasonDown     Reason = "down"     // the endpoint does not answer
--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	fewest     = 4                     // endpoints among which two are drawn
-	nearScore  = 1.5                   // scores up to this multiple of the best are as good
-	nearMargin = 10 * time.Millisecond // and up to this much more
+	fewest     = 4                    // endpoints among which two are drawn
+	nearScore  = 1.3                  // scores up to this multiple of the best are as good
+	nearMargin = 5 * time.Millisecond // and up to this much more
 	fullPause  = 250 * time.Millisecond
 )
 
@@ -30,7 +30,11 @@
 	var best [fewest]candidate
 	n, full := 0, false
 	if allowed(s, r) {
-		for _, e := range t.lookup(s).endpoints(r) {
+		endpoints := t.lookup(s).endpoints(r)
+		for i := range endpoints {
+			// Each request begins elsewhere, so that equal scores do not all
+			// fall to the same endpoints.
+			e := endpoints[(i+int(r.Seed%uint64(len(endpoints))))%len(endpoints)]
 			c, reason := judge(now, s, r, t, p, e)
 			if reason != ReasonFit && reason != ReasonCold {
 				full = full || reason.Temporary()
@@ -80,18 +84,19 @@
 	if reason := unfit(s, r, e); reason != ReasonFit {
 		return candidate{}, reason
 	}
-	l := t.Load(now, e.Spec.ID)
+	l := t.Load(now, e.Spec.ID, reportedAt(e))
 	q := depth(now, s, e, l)
-	if r.Alone && (l.Running > 0 || q >= 1) {
+	if l.Reserved || r.Alone && !empty(now, e, l) {
 		return candidate{}, ReasonBusy
 	}
 	cold := e.Phase == fleet.PhaseCold
-	if l.Backoff > 0 || !cold && saturated(s, e, l, q) {
+	if l.Backoff > 0 || !cold && saturated(e, l, q) {
 		return candidate{}, ReasonFull
 	}
 	c := candidate{endpoint: e, cold: cold}
-	c.expected = expect(s, r, p, e, q)
-	c.score = time.Duration(float64(c.expected) * l.Factor)
+	wait := queueing(e, l, q)
+	c.expected = prefill(s, r, p, e) + wait
+	c.score = time.Duration(float64(c.expected)*l.Factor + float64(wait)*queueAversion)
 	if cold {
 		c.score += coldPenalty
 		return c, ReasonCold
@@ -99,6 +104,12 @@
 	return c, ReasonFit
 }
 
+// empty tells whether the endpoint is known to run nothing.
+func empty(now time.Time, e *fleet.Endpoint, l Load) bool {
+	fresh := !e.Reported.IsZero() && now.Sub(e.Reported) <= reportLifetime
+	return fresh && l.Running == 0 && e.Report.Running+e.Report.Waiting == 0
+}
+
 func unfit(s *fleet.Snapshot, r Request, e *fleet.Endpoint) Reason {
 	switch {
 	case s.ZoneOut(e.Spec.Zone):
--- /dev/null
+++ b/internal/route/choose_test.go
@@ -0,0 +1,194 @@
+package route_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/marigoldscale/marigoldscale/internal/fleet"
+	"github.com/marigoldscale/marigoldscale/internal/route"
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+var (
+	now     = time.Unix(1_000_000, 0)
+	release = ident.Release{Model: "m", Version: "1"}
+)
+
+func snapshot(endpoints int) *fleet.Snapshot {
+	s := &fleet.Snapshot{
+		Self:      fleet.Router{Zone: "a"},
+		Routers:   make([]fleet.Router, 8),
+		Endpoints: map[ident.EndpointID]*fleet.Endpoint{},
+		Config: &fleet.Config{
+			Models: map[ident.ModelID]*fleet.Model{"m": {ID: "m", Versions: []ident.VersionID{"1"}}},
+			Zones:  map[ident.ZoneID]*fleet.Zone{"a": {Region: "r"}, "b": {Region: "r"}, "c": {Region: "s"}},
+		},
+	}
+	for i := range endpoints {
+		id := ident.EndpointID(fmt.Sprintf("e%02d", i))
+		s.Endpoints[id] = &fleet.Endpoint{
+			Spec:     &fleet.EndpointSpec{ID: id, Zone: "a", Release: release, Slots: 8, Cold: 1},
+			Phase:    fleet.PhaseWarm,
+			Reported: now,
+		}
+	}
+	return s
+}
+
+func choose(s *fleet.Snapshot, r route.Request, t *route.Table) route.Choice {
+	r.Release = release
+	return route.Choose(now, s, r, t, nil)
+}
+
+var _ = Describe("Choose", func() {
+	DescribeTable("takes no endpoint that must not run the request",
+		func(spoil func(*fleet.Snapshot, *route.Request, *route.Table), reason route.Reason) {
+			s, t, r := snapshot(1), route.NewTable(), route.Request{Release: release}
+			spoil(s, &r, t)
+			choice := route.Choose(now, s, r, t, nil)
+			Expect(choice).NotTo(BeAssignableToTypeOf(route.Send{}))
+			Expect(route.Explain(now, s, r, t, nil)[0].Reason).To(Equal(reason))
+			if reason.Temporary() {
+				Expect(choice).To(BeAssignableToTypeOf(route.Wait{}))
+			}
+		},
+		Entry("zone out", func(s *fleet.Snapshot, _ *route.Request, _ *route.Table) { s.Config.Zones["a"].Out = true }, route.ReasonZone),
+		Entry("zone unknown", func(s *fleet.Snapshot, _ *route.Request, _ *route.Table) { delete(s.Config.Zones, "a") }, route.ReasonZone),
+		Entry("leaving", func(s *fleet.Snapshot, _ *route.Request, _ *route.Table) { s.Endpoints["e00"].Leaving = true }, route.ReasonLeaving),
+		Entry("down", func(s *fleet.Snapshot, _ *route.Request, _ *route.Table) { s.Endpoints["e00"].Phase = fleet.PhaseDown }, route.ReasonDown),
+		Entry("withdrawn", func(s *fleet.Snapshot, _ *route.Request, _ *route.Table) {
+			s.Withdrawn = map[ident.Release]fleet.Withdrawal{release: {}}
+		}, route.ReasonVersion),
+		Entry("excluded", func(_ *fleet.Snapshot, r *route.Request, _ *route.Table) {
+			r.Exclude = []ident.EndpointID{"e00"}
+		}, route.ReasonExcluded),
+		Entry("cold", func(s *fleet.Snapshot, _ *route.Request, _ *route.Table) { s.Endpoints["e00"].Phase = fleet.PhaseCold }, route.ReasonCold),
+		Entry("full by report", func(s *fleet.Snapshot, _ *route.Request, _ *route.Table) {
+			s.Endpoints["e00"].Report.Waiting = 80
+		}, route.ReasonFull),
+		Entry("refused just now", func(_ *fleet.Snapshot, _ *route.Request, t *route.Table) {
+			t.Start(now, "e00")
+			t.End(now, "e00", route.OutcomeOverloaded)
+		}, route.ReasonFull),
+		Entry("alone beside another", func(_ *fleet.Snapshot, r *route.Request, t *route.Table) {
+			t.Start(now, "e00")
+			r.Alone = true
+		}, route.ReasonBusy),
+		Entry("alone beside another router's", func(s *fleet.Snapshot, r *route.Request, _ *route.Table) {
+			s.Endpoints["e00"].Report.Running = 1
+			r.Alone = true
+		}, route.ReasonBusy),
+		Entry("alone without a report", func(s *fleet.Snapshot, r *route.Request, _ *route.Table) {
+			s.Endpoints["e00"].Reported = time.Time{}
+			r.Alone = true
+		}, route.ReasonBusy),
+	)
+
+	It("gives every reason when nothing can run the request", func() {
+		s := snapshot(2)
+		s.Endpoints["e00"].Leaving = true
+		s.Endpoints["e01"].Phase = fleet.PhaseDown
+		none := choose(s, route.Request{}, route.NewTable()).(route.None)
+		Expect(none.Reasons).To(HaveLen(2))
+	})
+
+	It("names a cold endpoint only when no warm one is near", func() {
+		s := snapshot(2)
+		s.Endpoints["e00"].Phase = fleet.PhaseCold
+		Expect(choose(s, route.Request{}, route.NewTable()).(route.Send).Endpoint.Spec.ID).To(BeEquivalentTo("e01"))
+		s.Endpoints["e01"].Phase = fleet.PhaseCold
+		Expect(choose(s, route.Request{}, route.NewTable())).To(BeAssignableToTypeOf(route.NeedPermit{}))
+	})
+
+	It("prefers the own zone, then the region", func() {
+		s := snapshot(3)
+		s.Endpoints["e00"].Spec.Zone = "c"
+		s.Endpoints["e01"].Spec.Zone = "b"
+		explained := route.Explain(now, s, route.Request{Release: release}, route.NewTable(), nil)
+		Expect(explained[0].Score).To(BeNumerically(">", explained[1].Score))
+		Expect(explained[1].Score).To(BeNumerically(">", explained[2].Score))
+	})
+
+	It("prefers the endpoint that has the prompt's prefix", func() {
+		s, t := snapshot(4), route.NewTable()
+		p, err := route.NewPrefixes(100)
+		Expect(err).NotTo(HaveOccurred())
+		blocks := route.Blocks(make([]byte, 20*route.BlockBytes))
+		p.Sent("e02", blocks)
+		for seed := range uint64(16) {
+			r := route.Request{Release: release, Seed: seed * 0x9e3779b97f4a7c15, Prompt: 20 * route.BlockTokens, Blocks: blocks}
+			Expect(route.Choose(now, s, r, t, p).(route.Send).Endpoint.Spec.ID).To(BeEquivalentTo("e02"))
+		}
+	})
+
+	It("does not herd: routers with the same stale report spread over equal endpoints", func() {
+		s, sent := snapshot(12), map[ident.EndpointID]int{}
+		random := rand.New(rand.NewPCG(7, 7))
+		for range 1200 {
+			c := choose(s, route.Request{Seed: random.Uint64()}, route.NewTable())
+			sent[c.(route.Send).Endpoint.Spec.ID]++
+		}
+		Expect(sent).To(HaveLen(12))
+		for _, n := range sent {
+			Expect(n).To(BeNumerically("<", 2*1200/12))
+		}
+	})
+
+	It("holds for any fleet: what is chosen suits, and the same inputs give the same choice", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			s, table := randomFleet(t), route.NewTable()
+			r := route.Request{Release: release, Seed: rapid.Uint64().Draw(t, "seed"), Alone: rapid.Bool().Draw(t, "alone")}
+			first := route.Choose(now, s, r, table, nil)
+			send, ok := first.(route.Send)
+			if !ok {
+				return
+			}
+			e := send.Endpoint
+			if e.Phase != fleet.PhaseWarm || e.Leaving || s.ZoneOut(e.Spec.Zone) || r.Alone && e.Report.Running > 0 {
+				t.Fatalf("chose %+v", e)
+			}
+			again := route.Choose(now, s, r, table, nil).(route.Send)
+			if again != send {
+				t.Fatalf("chose %v, then %v", send, again)
+			}
+		})
+	})
+})
+
+func randomFleet(t *rapid.T) *fleet.Snapshot {
+	s := snapshot(rapid.IntRange(1, 8).Draw(t, "endpoints"))
+	for _, id := range []ident.ZoneID{"a", "b", "c"} {
+		s.Config.Zones[id].Out = rapid.Bool().Draw(t, "out")
+	}
+	for i := range len(s.Endpoints) {
+		e := s.Endpoints[ident.EndpointID(fmt.Sprintf("e%02d", i))]
+		e.Spec.Zone = rapid.SampledFrom([]ident.ZoneID{"a", "b", "c"}).Draw(t, "zone")
+		e.Phase = rapid.SampledFrom([]fleet.Phase{fleet.PhaseCold, fleet.PhaseWarm, fleet.PhaseDown}).Draw(t, "phase")
+		e.Leaving = rapid.Bool().Draw(t, "leaving")
+		e.Report.Running = rapid.IntRange(0, 12).Draw(t, "running")
+	}
+	return s
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{12, 72} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			s, t := snapshot(n), route.NewTable()
+			p, _ := route.NewPrefixes(4096)
+			blocks := route.Blocks(make([]byte, 32*route.BlockBytes))
+			p.Sent("e03", blocks)
+			r := route.Request{Release: release, Prompt: 32 * route.BlockTokens, Blocks: blocks}
+			b.ReportAllocs()
+			for b.Loop() {
+				r.Seed += 0x9e3779b97f4a7c15
+				_ = route.Choose(now, s, r, t, p)
+			}
+		})
+	}
+}
--- a/internal/route/load.go
+++ b/internal/route/load.go
@@ -16,6 +16,10 @@
 	limitPause    = 200 * time.Millisecond
 	slowFactor    = 2.0 // a first token later than this multiple of the expected one cuts the limit
 	refusalPause  = 100 * time.Millisecond
+
+	historySize    = 64          // changes of the attempts in flight that are remembered
+	serviceWindow  = 64          // ended attempts over which the service time is averaged
+	assumedService = time.Second // service time before any attempt has ended
 )
 
 // load is one endpoint's entry in a Table.
@@ -27,14 +31,59 @@
 	observed time.Time // of factor
 	cut      time.Time // last decrease of limit
 	backoff  time.Time
+	reserved time.Time
+	history  [historySize]change // a ring, the newest at newest
+	newest   int
+	changed  time.Time // when running last changed
+	area     float64   // decayed seconds of attempts in flight
+	ended    float64   // decayed count of attempts ended
+}
+
+// change is the number of attempts in flight from a time on.
+type change struct {
+	at      time.Time
+	running int
 }
 
 func newLoad() *load {
 	return &load{factor: 1}
 }
 
-func (l *load) start(time.Time) {
-	l.running++
+func (l *load) start(now time.Time) {
+	l.record(now, l.running+1)
+}
+
+// record changes the number of attempts in flight.
+func (l *load) record(now time.Time, running int) {
+	if !l.changed.IsZero() && now.After(l.changed) {
+		l.area += float64(l.running) * now.Sub(l.changed).Seconds()
+	}
+	l.changed = now
+	l.running = running
+	l.newest = (l.newest + 1) % historySize
+	l.history[l.newest] = change{at: now, running: running}
+}
+
+// before gives the attempts in flight at an earlier time, or at the oldest
+// change that is remembered.
+func (l *load) before(at time.Time) int {
+	running := l.running
+	for i := range historySize {
+		c := l.history[(l.newest+historySize-i)%historySize]
+		if c.at.IsZero() {
+			return 0
+		}
+		running = c.running
+		if !c.at.After(at) {
+			break
+		}
+	}
+	return running
+}
+
+// service is the mean time that an attempt stays in flight, by Little's law.
+func (l *load) service() time.Duration {
+	return time.Duration((l.area + assumedService.Seconds()) / (l.ended + 1) * float64(time.Second))
 }
 
 func (l *load) first(now time.Time, expected, latency time.Duration) {
@@ -52,8 +101,11 @@
 }
 
 func (l *load) end(now time.Time, outcome Outcome) {
-	if l.running > 0 {
-		l.running--
+	l.record(now, max(0, l.running-1))
+	l.ended++
+	if l.ended > serviceWindow {
+		l.ended /= 2
+		l.area /= 2
 	}
 	switch outcome {
 	case OutcomeOverloaded:
