Test roll-outs on matched sets of outcomes

Cause: a candidate was compared with a confidence bound on the default version's shares over a step (Krichevsky-Trofimov mixture, both arms). Ruled out: the same by finer slots of time (too little evidence in each); 1:1 pairs (each failure can at most double the evidence). Now each candidate outcome is placed among up to 16 default outcomes that the same router saw just before, each used once. Tolerated failures are added to the default's, so the null is exact. Wealth is mixed over stakes, divided over kinds, steps, teams, the whole step and its windows of 2 minutes.

Evidence now counts the candidate alone; the default's outcomes stay at the router that saw them, so only the candidate's traffic costs messages.

--- a/internal/roll/assign.go
+++ b/internal/roll/assign.go
@@ -64,11 +64,15 @@
 	return Choice{}, false
 }
 
+// holdback is the share of new sessions that stays on the default version
+// until a roll-out is finished, so that there is something to compare with.
+const holdback = 0.05
+
 func inStep(seed uint64, rollout *fleet.Rollout, state fleet.RolloutState, quota Quota) bool {
 	if state.Full || quota.Limited && quota.Left <= 0 {
 		return false
 	}
-	share := float64(rollout.Steps[state.Step].Share)
+	share := min(float64(rollout.Steps[state.Step].Share), 1-holdback)
 	return spread(seed, rollout) < share
 }
 
--- /dev/null
+++ b/internal/roll/assign_test.go
@@ -0,0 +1,70 @@
+package roll_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/marigoldscale/marigoldscale/internal/fleet"
+	"github.com/marigoldscale/marigoldscale/internal/roll"
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+var _ = Describe("Assign", func() {
+	steps := []fleet.Step{{Share: 0.01}, {Share: 0.3}, {Share: 1}}
+	snapshot := func(step int) *fleet.Snapshot {
+		return &fleet.Snapshot{
+			Config:    config(steps...),
+			Rollouts:  map[ident.ModelID]fleet.RolloutState{model: state(step)},
+			Withdrawn: map[ident.Release]fleet.Withdrawal{},
+		}
+	}
+
+	It("gives a session the candidate at most from one step on", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			seed := rapid.Uint64().Draw(t, "seed")
+			before := false
+			for step := range len(steps) + 1 {
+				choice, ok := roll.Assign(seed, snapshot(step), team("a"), model, roll.Quota{})
+				if !ok || before && choice.Version != "2" {
+					t.Fatalf("step %d takes the session back to %s", step, choice.Version)
+				}
+				before = choice.Version == "2"
+			}
+			if !before {
+				t.Fatal("a finished roll-out leaves the session on the default version")
+			}
+		})
+	})
+
+	It("never gives a version that is withdrawn or that the team may not use", func() {
+		only := &fleet.Team{ID: "c", Models: []fleet.ModelGrant{{Model: model, Versions: []ident.VersionID{"1"}}}}
+		for step := range len(steps) + 1 {
+			s := snapshot(step)
+			for seed := range uint64(200) {
+				choice, ok := roll.Assign(seed, s, only, model, roll.Quota{})
+				Expect(ok).To(BeTrue())
+				Expect(choice.Version).To(Equal(ident.VersionID("1")))
+			}
+			s.Withdrawn[release("2")] = fleet.Withdrawal{}
+			choice, _ := roll.Assign(7, s, team("a"), model, roll.Quota{})
+			Expect(choice.Version).To(Equal(ident.VersionID("1")))
+			s.Withdrawn[release("1")] = fleet.Withdrawal{}
+			_, ok := roll.Assign(7, s, team("a"), model, roll.Quota{})
+			Expect(ok).To(BeFalse())
+		}
+	})
+
+	It("exposes about the step's share, and none without quota", func() {
+		exposed := 0
+		for seed := range uint64(10000) {
+			choice, _ := roll.Assign(seed, snapshot(1), team("a"), model, roll.Quota{})
+			if choice.Candidate {
+				exposed++
+			}
+			choice, _ = roll.Assign(seed, snapshot(2), team("a"), model, roll.Quota{Limited: true})
+			Expect(choice.Candidate).To(BeFalse())
+		}
+		Expect(exposed).To(BeNumerically("~", 3000, 300))
+	})
+})
--- a/internal/roll/bucket.go
+++ b/internal/roll/bucket.go
@@ -23,10 +23,7 @@
 	return min(Buckets-1, int(math.Ceil(steps)))
 }
 
-// bucketShift gives the number of buckets that a latency factor spans.
-func bucketShift(factor float64) int {
-	if factor <= 1 {
-		return 0
-	}
-	return int(math.Ceil(math.Log(factor)/math.Log(bucketRatio) - 1e-9))
+// bucketEnd gives the upper end of a bucket.
+func bucketEnd(bucket int) time.Duration {
+	return time.Duration(float64(bucketBase) * math.Pow(bucketRatio, float64(bucket))).Round(time.Millisecond)
 }
--- a/internal/roll/evidence.go
+++ b/internal/roll/evidence.go
@@ -1,9 +1,9 @@
 package roll
 
 import (
-	"math"
 	"time"
 
+	"github.com/marigoldscale/marigoldscale/internal/fleet"
 	"github.com/marigoldscale/marigoldscale/pkg/ident"
 )
 
@@ -13,43 +13,19 @@
 	Incarnation uint64         `json:"incarnation"`
 }
 
-// Key names a cell of evidence: what one team saw of one release within one
-// stratum of a roll-out.
+// Key names a cell of evidence: how a candidate fared with one team, or with
+// all teams if Team is empty, within one stratum of its roll-out.
 type Key struct {
 	Release ident.Release `json:"release"`
 	Team    ident.TeamID  `json:"team"`
 	Stratum Stratum       `json:"stratum"`
 }
 
-// Outcome is what one request showed about the release that answered it.
-type Outcome struct {
-	Failed bool
-	Empty  bool
-	First  time.Duration // time to the first token, 0 if none came
-}
-
-// RatingUnit is the resolution of summed ratings; sums of integers merge
-// exactly.
-const RatingUnit = 1_000_000
-
-// Counters are monotone counts of outcomes. Merged counters of one source are
-// the greater of the two in each field.
-type Counters struct {
-	Requests uint64          `json:"requests,omitempty"`
-	Errors   uint64          `json:"errors,omitempty"`
-	Empty    uint64          `json:"empty,omitempty"`
-	Sessions uint64          `json:"sessions,omitempty"` // new sessions assigned
-	Ratings  uint64          `json:"ratings,omitempty"`
-	Rated    uint64          `json:"rated,omitempty"`   // sum of ratings, in 1/RatingUnit
-	Squares  uint64          `json:"squares,omitempty"` // sum of squared ratings, in 1/RatingUnit
-	Latency  [Buckets]uint64 `json:"latency"`           // first tokens by Bucket
-}
-
 // Entry is one source's counters of one cell.
 type Entry struct {
-	Key      Key      `json:"key"`
-	Source   Source   `json:"source"`
-	Counters Counters `json:"counters"`
+	Key    Key     `json:"key"`
+	Source Source  `json:"source"`
+	Counts []Count `json:"counts"`
 }
 
 // Mark is a point in an Evidence's local history of changes.
@@ -59,6 +35,8 @@
 // heard of them. It belongs to the control thread.
 type Evidence struct {
 	cells map[Key]*cell
+	pools pools
+	draw  draw
 	mark  Mark
 	folds *folds
 }
@@ -74,67 +52,130 @@
 	mark     Mark
 }
 
-// New gives evidence that holds nothing.
-func New() *Evidence {
-	return &Evidence{cells: map[Key]*cell{}, folds: newFolds()}
+// View is what recording needs to know of a roll-out in progress.
+type View struct {
+	Candidate  ident.Release
+	Stable     ident.Release // the version that the candidate is compared with
+	Stratum    Stratum
+	tolerances tolerances
 }
 
-// Record counts one outcome at its own router, for the window and for the
-// whole step.
-func (e *Evidence) Record(self Source, key Key, outcome Outcome) {
-	e.add(self, key, func(c *Counters) { c.count(outcome) })
+// New gives evidence that holds nothing. The seed decides on ties alone.
+func New(seed uint64) *Evidence {
+	return &Evidence{cells: map[Key]*cell{}, pools: pools{}, draw: draw{state: seed}, folds: newFolds()}
 }
 
-// Rate counts one rating at its own router.
-func (e *Evidence) Rate(self Source, key Key, quality ident.Quality) {
-	e.add(self, key, func(c *Counters) { c.rate(quality) })
+// Look gives the view of a roll-out, and false if it is not in progress.
+func Look(now time.Time, config *fleet.Config, state fleet.RolloutState) (View, bool) {
+	model, rollout := config.Models[state.Model], config.Rollouts[state.Model]
+	if model == nil || rollout == nil || rollout.To != state.To || state.Step >= len(rollout.Steps) {
+		return View{}, false
+	}
+	return View{
+		Candidate:  ident.Release{Model: model.ID, Version: rollout.To},
+		Stable:     ident.Release{Model: model.ID, Version: model.Default},
+		Stratum:    StratumAt(now, state),
+		tolerances: tolerancesOf(rollout.Limits),
+	}, true
+}
+
+// Expose counts one new session assigned to the candidate.
+func (e *Evidence) Expose(self Source, view View, team ident.TeamID) {
+	counts := [...]Count{{CountSessions, 1}}
+	e.add(self, view, "", counts[:])
+	e.add(self, view, team, counts[:])
+}
+
+// Record takes in the outcome of one request that this router saw run on the
+// release. The default version's outcomes wait to be compared with; those of
+// other releases are passed over.
+func (e *Evidence) Record(now time.Time, self Source, view View, team ident.TeamID, release ident.Release, outcome Outcome) {
+	for _, t := range [...]ident.TeamID{"", team} {
+		switch release {
+		case view.Stable:
+			e.pools.at(view.Candidate, t).push(now, outcome)
+		case view.Candidate:
+			e.compare(now, self, view, t, outcome)
+		}
+	}
 }
 
-// Expose counts one new session assigned to the release.
-func (e *Evidence) Expose(self Source, key Key) {
-	e.add(self, key, func(c *Counters) { c.Sessions++ })
+// compare counts a candidate's outcome and its places among the default
+// version's.
+func (e *Evidence) compare(now time.Time, self Source, view View, team ident.TeamID, outcome Outcome) {
+	w, age := e.pools.at(view.Candidate, team), maxAge(team)
+	var into [16]float64
+	var space [8]Count
+	counts := outcome.count(space[:0])
+	place := func(c Counter, ok bool) {
+		if ok {
+			counts = append(counts, Count{c, 1})
+		}
+	}
+	place(e.draw.tally(countErrorSets, outcome.Failed, w.errors.take(now, age, &into), view.tolerances.errors))
+	if !outcome.Failed {
+		place(e.draw.tally(countEmptySets, outcome.Empty, w.empty.take(now, age, &into), view.tolerances.errors))
+	}
+	if !outcome.Failed && outcome.First > 0 {
+		longer := func(v float64) float64 { return v * view.tolerances.latency }
+		place(e.draw.rank(countSlowRanks, float64(outcome.First), w.slow.take(now, age, &into), longer))
+	}
+	e.add(self, view, team, counts)
 }
 
-func (e *Evidence) add(self Source, key Key, apply func(*Counters)) {
-	e.update(self, key, apply)
-	if whole := key.Stratum.Whole(); whole != key.Stratum {
-		key.Stratum = whole
-		e.update(self, key, apply)
+// Rate takes in the rating of one answer that this router saw.
+func (e *Evidence) Rate(now time.Time, self Source, view View, team ident.TeamID, release ident.Release, quality ident.Quality) {
+	for _, t := range [...]ident.TeamID{"", team} {
+		switch release {
+		case view.Stable:
+			e.pools.at(view.Candidate, t).lack.push(now, 1-float64(quality))
+		case view.Candidate:
+			e.compareRating(now, self, view, t, quality)
+		}
 	}
 }
 
-func (e *Evidence) update(self Source, key Key, apply func(*Counters)) {
-	c := e.cell(key)
-	r := c.record(self)
-	c.total.sub(&r.counters)
-	apply(&r.counters)
-	c.total.add(&r.counters)
-	e.mark++
-	r.mark = e.mark
+func (e *Evidence) compareRating(now time.Time, self Source, view View, team ident.TeamID, quality ident.Quality) {
+	var into [16]float64
+	var space [4]Count
+	counts := countRating(space[:0], quality)
+	set := e.pools.at(view.Candidate, team).lack.take(now, maxAge(team), &into)
+	lower := func(v float64) float64 { return v + view.tolerances.quality }
+	if c, ok := e.draw.rank(countLackRanks, 1-float64(quality), set, lower); ok {
+		counts = append(counts, Count{c, 1})
+	}
+	e.add(self, view, team, counts)
+}
+
+// add counts in the window in force and in the whole step.
+func (e *Evidence) add(self Source, view View, team ident.TeamID, counts []Count) {
+	for _, s := range [...]Stratum{view.Stratum, view.Stratum.Whole()} {
+		c := e.cell(Key{Release: view.Candidate, Team: team, Stratum: s})
+		r := c.record(self)
+		for _, n := range counts {
+			r.counters[n.Counter] += n.Value
+			c.total[n.Counter] += n.Value
+		}
+		e.mark++
+		r.mark = e.mark
+	}
 }
 
 // Merge takes in entries from a peer. Entries may come late, doubled and in
 // any order; those of folded sources are dropped.
 func (e *Evidence) Merge(entries []Entry) {
 	for i := range entries {
-		e.merge(&entries[i])
-	}
-}
-
-func (e *Evidence) merge(n *Entry) {
-	if e.folds.has(n.Source) {
-		return
-	}
-	c := e.cell(n.Key)
-	r := c.record(n.Source)
-	if !n.Counters.exceeds(&r.counters) {
-		return
+		n := &entries[i]
+		if e.folds.has(n.Source) {
+			continue
+		}
+		c := e.cell(n.Key)
+		r := c.record(n.Source)
+		if r.counters.raise(n.Counts, &c.total) {
+			e.mark++
+			r.mark = e.mark
+		}
 	}
-	c.total.sub(&r.counters)
-	r.counters.max(&n.Counters)
-	c.total.add(&r.counters)
-	e.mark++
-	r.mark = e.mark
 }
 
 // Delta gives the entries that changed after since, its own and those heard,
@@ -144,7 +185,7 @@
 	for k, c := range e.cells {
 		for s, r := range c.sources {
 			if r.mark > since {
-				entries = append(entries, Entry{Key: k, Source: s, Counters: r.counters})
+				entries = append(entries, Entry{Key: k, Source: s, Counts: r.counters.Sparse()})
 			}
 		}
 	}
@@ -153,35 +194,10 @@
 
 // Total gives the fleet's counters of one cell.
 func (e *Evidence) Total(key Key) Counters {
-	c, ok := e.cells[key]
-	if !ok {
-		return Counters{}
-	}
-	return c.total
-}
-
-// Keep forgets all evidence about releases for which keep is false.
-func (e *Evidence) Keep(keep func(Key) bool) {
-	for k := range e.cells {
-		if !keep(k) {
-			delete(e.cells, k)
-		}
-	}
-}
-
-// Fold adds a dead source's counters to the local sum of dead sources, so that
-// memory does not grow with the number of routers that ever lived.
-func (e *Evidence) Fold(dead Source) {
-	if e.folds.has(dead) {
-		return
-	}
-	e.folds.add(dead)
-	for _, c := range e.cells {
-		if r, ok := c.sources[dead]; ok {
-			c.folded.add(&r.counters)
-			delete(c.sources, dead)
-		}
+	if c, ok := e.cells[key]; ok {
+		return c.total
 	}
+	return Counters{}
 }
 
 func (e *Evidence) cell(key Key) *cell {
@@ -201,55 +217,3 @@
 	}
 	return r
 }
-
-func (c *Counters) count(outcome Outcome) {
-	c.Requests++
-	if outcome.Failed {
-		c.Errors++
-		return
-	}
-	if outcome.Empty {
-		c.Empty++
-	}
-	if outcome.First > 0 {
-		c.Latency[Bucket(outcome.First)]++
-	}
-}
-
-func (c *Counters) rate(quality ident.Quality) {
-	q := math.Min(1, math.Max(0, float64(quality)))
-	c.Ratings++
-	c.Rated += uint64(q * RatingUnit)
-	c.Squares += uint64(q * q * RatingUnit)
-}
-
-func (c *Counters) each(other *Counters, apply func(mine *uint64, theirs uint64)) {
-	apply(&c.Requests, other.Requests)
-	apply(&c.Errors, other.Errors)
-	apply(&c.Empty, other.Empty)
-	apply(&c.Sessions, other.Sessions)
-	apply(&c.Ratings, other.Ratings)
-	apply(&c.Rated, other.Rated)
-	apply(&c.Squares, other.Squares)
-	for i := range c.Latency {
-		apply(&c.Latency[i], other.Latency[i])
-	}
-}
-
-func (c *Counters) add(other *Counters) {
-	c.each(other, func(mine *uint64, theirs uint64) { *mine += theirs })
-}
-
-func (c *Counters) sub(other *Counters) {
-	c.each(other, func(mine *uint64, theirs uint64) { *mine -= theirs })
-}
-
-func (c *Counters) max(other *Counters) {
-	c.each(other, func(mine *uint64, theirs uint64) { *mine = max(*mine, theirs) })
-}
-
-func (c *Counters) exceeds(other *Counters) bool {
-	merged := *other
-	merged.max(c)
-	return merged != *other
-}
--- a/internal/roll/quota.go
+++ b/internal/roll/quota.go
@@ -41,21 +41,20 @@
 // list, and of all others.
 func (e *Evidence) exposed(self Source, rollout *fleet.Rollout, state fleet.RolloutState, routers []fleet.Router) (own, live, dead int) {
 	release := ident.Release{Model: rollout.Model, Version: rollout.To}
-	for k, c := range e.cells {
-		if k.Release != release || k.Stratum != (Stratum{Step: state.Step}) {
-			continue
-		}
-		dead += int(c.folded.Sessions)
-		for s, r := range c.sources {
-			n := int(r.counters.Sessions)
-			switch {
-			case s == self:
-				own += n
-			case slices.ContainsFunc(routers, func(x fleet.Router) bool { return x.ID == s.Router }):
-				live += n
-			default:
-				dead += n
-			}
+	c, ok := e.cells[Key{Release: release, Stratum: Stratum{Step: state.Step}}]
+	if !ok {
+		return 0, 0, 0
+	}
+	dead = int(c.folded[CountSessions])
+	for s, r := range c.sources {
+		n := int(r.counters[CountSessions])
+		switch {
+		case s == self:
+			own += n
+		case slices.ContainsFunc(routers, func(x fleet.Router) bool { return x.ID == s.Router }):
+			live += n
+		default:
+			dead += n
 		}
 	}
 	return own, live, dead
--- a/internal/roll/roll.go
+++ b/internal/roll/roll.go
@@ -4,6 +4,7 @@
 package roll
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/marigoldscale/marigoldscale/internal/fleet"
@@ -60,40 +61,38 @@
 	if !model.Has(rollout.To) {
 		return Hold{Reason: "the candidate is withdrawn"}
 	}
-	if rollout.Aborted {
-		return Hold{Reason: "the roll-out is aborted"}
-	}
 	if state.Step >= len(rollout.Steps) {
 		return Hold{Reason: "the roll-out is finished"}
 	}
-	if w, bad := examine(now, config, rollout, state, evidence); bad {
-		return w
+	worst := examine(now, config, rollout, state, evidence)
+	if worst.strength >= 1 {
+		return Withdraw{Kind: worst.kind, Team: worst.team, Reason: worst.describe()}
 	}
-	return forward(rollout, state, evidence, ident.Release{Model: rollout.Model, Version: rollout.To})
+	return forward(rollout, state, evidence, worst)
 }
 
-// forward decides on a step forward of a roll-out without findings.
-func forward(rollout *fleet.Rollout, state fleet.RolloutState, evidence *Evidence, release ident.Release) Decision {
+// forward decides on a step forward of a roll-out that is not withdrawn.
+func forward(rollout *fleet.Rollout, state fleet.RolloutState, evidence *Evidence, worst finding) Decision {
+	if rollout.Aborted {
+		return Hold{Reason: "the roll-out is aborted"}
+	}
 	if rollout.Paused {
 		return Hold{Reason: "the roll-out is paused"}
 	}
-	seen := evidence.step(release, state.Step).Requests
-	if seen < uint64(rollout.Steps[state.Step].Evidence) {
-		return Hold{Reason: "too few answers seen in this step"}
+	if worst.strength >= suspicious && state.Full {
+		return Hold{Reason: "the session limit is used up and the candidate is under suspicion, raise the limit or abort: " + worst.describe()}
+	}
+	if worst.strength >= suspicious {
+		return Hold{Reason: "the candidate is under suspicion: " + worst.describe()}
+	}
+	release := ident.Release{Model: rollout.Model, Version: rollout.To}
+	whole := evidence.Total(Key{Release: release, Stratum: Stratum{Step: state.Step}})
+	seen := whole[CountRequests]
+	if wanted := rollout.Steps[state.Step].Evidence; seen < uint64(wanted) {
+		return Hold{Reason: fmt.Sprintf("%d of %d answers seen in this step", seen, wanted)}
 	}
 	if state.Step+1 == len(rollout.Steps) {
 		return Finish{Step: len(rollout.Steps)}
 	}
 	return Advance{Step: state.Step + 1}
 }
-
-// step adds up what all teams saw of a release in a step.
-func (e *Evidence) step(release ident.Release, step int) Counters {
-	var sum Counters
-	for k, c := range e.cells {
-		if k.Release == release && k.Stratum == (Stratum{Step: step}) {
-			sum.add(&c.total)
-		}
-	}
-	return sum
-}
--- a/internal/roll/stratum.go
+++ b/internal/roll/stratum.go
@@ -8,7 +8,7 @@
 
 // windowLength is the time within which a version's evidence is compared on
 // its own, so that a version which turns bad is not hidden by a good past.
-const windowLength = 10 * time.Minute
+const windowLength = 2 * time.Minute
 
 // Stratum is a part of a roll-out within which the candidate's share is
 // constant, so that both versions meet the same conditions. Window 0 stands
