--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -37,21 +37,26 @@
 	bound   ident.Release // of the present rung
 	broken  bool          // the sink has failed
 
-	events  chan flow.Event
-	answers chan flow.Event // of counted actions
+	inbox   chan message
 	result  chan flow.Result
 	gone    chan struct{} // closed when the caller's handler has returned
 	over    chan struct{} // closed when loop has returned
 }
 
+// message is an event on its way to the loop. One channel carries all of them,
+// so that an attempt's end never overtakes its frames.
+type message struct {
+	event  flow.Event
+	answer bool // to a counted action
+}
+
 func newRun(s *Server, request flow.Request, sink flow.Sink) *run {
 	r := &run{
 		server:  s,
 		request: request,
 		sink:    sink,
 		tries:   map[ident.AttemptID]*try{},
-		events:  make(chan flow.Event, eventBuffer),
-		answers: make(chan flow.Event),
+		inbox:   make(chan message, eventBuffer),
 		result:  make(chan flow.Result, 1),
 		gone:    make(chan struct{}),
 		over:    make(chan struct{}),
@@ -74,11 +79,11 @@
 	r.feed(work, flow.Begin{})
 	for !r.flow.Over() || r.pending > 0 {
 		select {
-		case e := <-r.events:
-			r.feed(work, e)
-		case e := <-r.answers:
-			r.pending--
-			r.feed(work, e)
+		case m := <-r.inbox:
+			if m.answer {
+				r.pending--
+			}
+			r.feed(work, m.event)
 		case <-deadline.C:
 			r.feed(work, flow.Expired{})
 		case <-left:
@@ -105,8 +110,12 @@
 // post hands an event to the loop, from another goroutine. It fails when the
 // run is over.
 func (r *run) post(e flow.Event) bool {
+	return r.put(message{event: e})
+}
+
+func (r *run) put(m message) bool {
 	select {
-	case r.events <- e:
+	case r.inbox <- m:
 		return true
 	case <-r.over:
 		return false
@@ -118,9 +127,7 @@
 	r.pending++
 	go func() {
 		e := work()
-		select {
-		case r.answers <- e:
-		case <-r.over:
+		if !r.put(message{event: e, answer: true}) {
 			r.abandon(e)
 		}
 	}()
--- a/internal/serve/try.go
+++ b/internal/serve/try.go
@@ -60,10 +60,7 @@
 	go func() {
 		defer cancel()
 		ended := t.run(ctx, r.post)
-		select {
-		case r.answers <- ended:
-		case <-r.over:
-		}
+		r.put(message{event: ended, answer: true})
 	}()
 }
 
