--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -37,10 +37,10 @@
 	bound   ident.Release // of the present rung
 	broken  bool          // the sink has failed
 
-	inbox   chan message
-	result  chan flow.Result
-	gone    chan struct{} // closed when the caller's handler has returned
-	over    chan struct{} // closed when loop has returned
+	inbox  chan message
+	result chan flow.Result
+	gone   chan struct{} // closed when the caller's handler has returned
+	over   chan struct{} // closed when loop has returned
 }
 
 // message is an event on its way to the loop. One channel carries all of them,
