--- a/internal/ctrl/control.go
+++ b/internal/ctrl/control.go
@@ -48,6 +48,7 @@
 	lastRead     time.Time
 	lastList     time.Time
 	lastAnnounce time.Time
+	lastTrim     time.Time
 	reading      bool
 	stopping     bool
 	changed      bool // a new view is due
@@ -76,7 +77,7 @@
 		stored:    map[ident.Release]bool{},
 		rollouts:  map[ident.ModelID]Rollout{},
 		writing:   map[plat.Key]bool{},
-		evidence:  roll.New(),
+		evidence:  roll.New(uint64(started.UnixNano())),
 		estimates: casc.New(),
 		deaths:    deaths,
 		home:      poison.NewHome(deaths, settings.Claims),
@@ -117,7 +118,7 @@
 	case Rated:
 		c.rated(now, e)
 	case Exposed:
-		c.exposed(e)
+		c.exposed(now, e)
 	case Withdraw:
 		return c.withdraw(now, e.Withdrawal)
 	case Wrote:
--- a/internal/ctrl/endpoint.go
+++ b/internal/ctrl/endpoint.go
@@ -89,8 +89,8 @@
 			e.phase.Step(now, permit.Answered{Latency: a.Latency, Expected: a.Expected})
 		}
 	}
-	if a.Counts {
-		c.evidence.Record(c.source, c.evidenceKey(now, a.Release, a.Team), a.Outcome)
+	if view, ok := c.look(now, a.Release.Model); ok && a.Counts {
+		c.evidence.Record(now, c.source, view, a.Team, a.Release, a.Outcome)
 	}
 	if !a.Died {
 		return nil
--- a/internal/ctrl/member.go
+++ b/internal/ctrl/member.go
@@ -6,6 +6,7 @@
 
 	"github.com/marigoldscale/marigoldscale/internal/fleet"
 	"github.com/marigoldscale/marigoldscale/internal/plat"
+	"github.com/marigoldscale/marigoldscale/internal/roll"
 	"github.com/marigoldscale/marigoldscale/pkg/ident"
 )
 
@@ -14,6 +15,8 @@
 	heardFor = 3 * time.Second
 	// listedFor is how long a router that was never heard may take to answer.
 	listedFor = 5 * time.Second
+	// trimInterval is the time between looks for evidence to forget.
+	trimInterval = 10 * time.Second
 	// forgetAfter is how long a dead router that is not listed is remembered.
 	forgetAfter = time.Minute
 )
@@ -78,6 +81,23 @@
 	for _, e := range c.endpoints {
 		e.pass(now)
 	}
+	c.trim(now)
+}
+
+// trim forgets evidence that no roll-out needs.
+func (c *Control) trim(now time.Time) {
+	if c.config == nil || now.Sub(c.lastTrim) < trimInterval {
+		return
+	}
+	c.lastTrim = now
+	states := make([]fleet.RolloutState, 0, len(c.rollouts))
+	for _, r := range c.rollouts {
+		states = append(states, r.State)
+	}
+	c.evidence.Trim(now, c.config, states, func(s roll.Source) bool {
+		r, ok := c.routers[s.Router]
+		return s == c.source || ok && r.live(now)
+	})
 }
 
 // live tells whether a router is taken to be alive.
--- a/internal/ctrl/rollout.go
+++ b/internal/ctrl/rollout.go
@@ -22,29 +22,27 @@
 	}
 }
 
-// evidenceKey files an outcome under the roll-out's step and time window.
-func (c *Control) evidenceKey(now time.Time, release ident.Release, team ident.TeamID) roll.Key {
-	key := roll.Key{Release: release, Team: team}
-	if state, ok := c.rollouts[release.Model]; ok {
-		key.Stratum = roll.StratumAt(now, state.State)
+// look gives what recording evidence needs to know of a model's roll-out, and
+// false if none is in progress.
+func (c *Control) look(now time.Time, model ident.ModelID) (roll.View, bool) {
+	state, ok := c.rollouts[model]
+	if !ok || c.config == nil {
+		return roll.View{}, false
 	}
-	return key
+	return roll.Look(now, c.config, state.State)
 }
 
 func (c *Control) rated(now time.Time, e Rated) {
 	c.estimates.Observe(now, casc.Source(c.source), casc.Key{Class: e.Class, Model: e.Release.Model}, e.Quality)
-	if _, rolling := c.rollouts[e.Release.Model]; rolling {
-		c.evidence.Rate(c.source, c.evidenceKey(now, e.Release, e.Team), e.Quality)
+	if view, ok := c.look(now, e.Release.Model); ok {
+		c.evidence.Rate(now, c.source, view, e.Team, e.Release, e.Quality)
 	}
 }
 
-func (c *Control) exposed(e Exposed) {
-	state, ok := c.rollouts[e.Release.Model]
-	if !ok {
-		return
+func (c *Control) exposed(now time.Time, e Exposed) {
+	if view, ok := c.look(now, e.Release.Model); ok {
+		c.evidence.Expose(c.source, view, e.Team)
 	}
-	key := roll.Key{Release: e.Release, Team: e.Team, Stratum: roll.Stratum{Step: state.State.Step}}
-	c.evidence.Expose(c.source, key)
 }
 
 // decide moves each roll-out on, or withdraws its version.
--- a/internal/router/admin.go
+++ b/internal/router/admin.go
@@ -132,7 +132,7 @@
 			continue
 		}
 		s.Endpoints++
-		s.Inflight += r.table.Load(now, e.Spec.ID).Running
+		s.Inflight += r.table.Load(now, e.Spec.ID, e.Reported).Running
 	}
 	return s
 }
--- a/internal/serve/gates.go
+++ b/internal/serve/gates.go
@@ -28,8 +28,8 @@
 	serial  admit.TicketID
 }
 
-// ticket names a request at its gate.
-type ticket struct {
+// Ticket names a request at its gate.
+type Ticket struct {
 	pool ident.ServiceID
 	id   admit.TicketID
 }
@@ -59,14 +59,14 @@
 
 // Ask asks for a request's admission. The final verdict comes at once or on
 // the channel.
-func (g *Gates) Ask(now time.Time, pool ident.ServiceID, t admit.Ticket) (ticket, admit.Verdict, <-chan admit.Verdict) {
+func (g *Gates) Ask(now time.Time, pool ident.ServiceID, t admit.Ticket) (Ticket, admit.Verdict, <-chan admit.Verdict) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
 	g.serial++
 	t.ID = g.serial
 	verdict, others := g.gate(pool).Ask(now, t)
 	g.deliver(others)
-	name := ticket{pool: pool, id: t.ID}
+	name := Ticket{pool: pool, id: t.ID}
 	if _, queued := verdict.(admit.Queue); !queued {
 		return name, verdict, nil
 	}
@@ -76,7 +76,7 @@
 }
 
 // Done ends a ticket; the zero ticket is none.
-func (g *Gates) Done(now time.Time, t ticket) {
+func (g *Gates) Done(now time.Time, t Ticket) {
 	if t.id == 0 {
 		return
 	}
--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -33,7 +33,7 @@
 	blocks  []uint64
 	tries   map[ident.AttemptID]*try
 	pending int // answers still to come
-	ticket  ticket
+	ticket  Ticket
 	bound   ident.Release // of the present rung
 	broken  bool          // the sink has failed
 
