Keep name, address and URL checks in one place, and give scripts empty lists

The same checks stood in the loaders of files, settings and flags. The difference that publish prints leaves out ids and keys that are not given. Broken to see the tests fail: the id test of flattenKind, the empty list of kept.

--- a/internal/cmd/app_test.go
+++ b/internal/cmd/app_test.go
@@ -215,6 +215,8 @@
 			Expect(inForce().Generation).To(Equal(ident.Generation(i + 2)))
 		}
 		Expect(run("rollout", "pause", "quena")).To(Equal(1))
+		Expect(run("--json", "zone", "in", "lima-sur")).To(Equal(0))
+		Expect(out.String()).NotTo(ContainSubstring("null"), "scripts get empty lists")
 		head, _, err := publsh.CurrentHead(context.Background(), store)
 		Expect(err).NotTo(HaveOccurred())
 		c, err := publsh.Fetch(context.Background(), store, head)
--- a/internal/cmd/force.go
+++ b/internal/cmd/force.go
@@ -53,7 +53,7 @@
 		return published{}, err
 	}
 	r.note("%s", describe(result))
-	out := published{Result: result}
+	out := published{Result: result, Unheard: []string{}}
 	if wait.Wait == 0 {
 		return out, nil
 	}
@@ -97,11 +97,11 @@
 // lists, but no router hears, and those last heard long ago. One that is alive
 // and cut off stops serving by itself.
 func (r *Run) unheard() []string {
+	names := []string{}
 	views, err := r.views(r.ctx)
 	if err != nil {
-		return nil
+		return names
 	}
-	names := []string{}
 	heard := map[string]bool{}
 	for _, s := range merge(views) {
 		heard[string(s.router.ID)] = true
--- a/internal/cmd/settings.go
+++ b/internal/cmd/settings.go
@@ -1,7 +1,6 @@
 package cmd
 
 import (
-	"net/url"
 	"os"
 	"strings"
 
@@ -22,13 +21,12 @@
 
 // SettingsFields gives every key of the command line's settings file.
 func SettingsFields() []input.Field[Settings] {
-	path := func(string) bool { return true }
 	return []input.Field[Settings]{
-		input.Text("platform", "an http or https URL", `""`, isURL, func(s *Settings) *string { return &s.Platform }),
-		input.Texts("admin", "a list of http or https URLs", isURL, func(s *Settings) *[]string { return &s.Admin }),
-		input.Text("ca", "path of a PEM file", `""`, path, func(s *Settings) *string { return &s.CA }),
-		input.Text("cert", "path of a PEM file", `""`, path, func(s *Settings) *string { return &s.Cert }),
-		input.Text("key", "path of a PEM file", `""`, path, func(s *Settings) *string { return &s.Key }),
+		input.Text("platform", "an http or https URL", `""`, input.IsURL, func(s *Settings) *string { return &s.Platform }),
+		input.Texts("admin", "a list of http or https URLs", input.IsURL, func(s *Settings) *[]string { return &s.Admin }),
+		input.Text("ca", "path of a PEM file", `""`, input.Any, func(s *Settings) *string { return &s.CA }),
+		input.Text("cert", "path of a PEM file", `""`, input.Any, func(s *Settings) *string { return &s.Cert }),
+		input.Text("key", "path of a PEM file", `""`, input.Any, func(s *Settings) *string { return &s.Key }),
 	}
 }
 
@@ -52,7 +50,7 @@
 	}
 	s.Platform = strings.TrimRight(s.Platform, "/")
 	for _, u := range append([]string{s.Platform}, s.Admin...) {
-		if u != "" && !isURL(u) {
+		if u != "" && !input.IsURL(u) {
 			return Settings{}, badInput(errors.Errorf("%q is not an http or https URL", u))
 		}
 	}
@@ -72,8 +70,3 @@
 	problems = append(problems, input.Read(d, nil, d.Root, SettingsFields(), &s)...)
 	return s, problems.Sort()
 }
-
-func isURL(text string) bool {
-	u, err := url.Parse(text)
-	return err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
-}
--- a/internal/config/diff.go
+++ b/internal/config/diff.go
@@ -71,7 +71,14 @@
 			continue
 		}
 		for field, value := range fields {
-			flat[fmt.Sprintf("%s.%s.%s", k, id, field)] = string(value)
+			if field != "id" && !unset(string(value)) {
+				flat[fmt.Sprintf("%s.%s.%s", k, id, field)] = string(value)
+			}
 		}
 	}
 }
+
+// unset tells whether a JSON value stands for a key that is not given.
+func unset(value string) bool {
+	return value == "null" || value == `""` || value == `"@"`
+}
--- a/internal/config/fields.go
+++ b/internal/config/fields.go
@@ -2,9 +2,6 @@
 
 import (
 	"encoding/hex"
-	"net"
-	"regexp"
-	"strconv"
 	"strings"
 	"time"
 
@@ -20,15 +17,12 @@
 	maxSessions = 1_000_000_000
 	keyDigits   = 64 // hex digits of a SHA-256
 
-	acceptedName     = "1 to 63 letters, digits, dots, dashes and underscores, the first a letter or digit"
 	acceptedNames    = "a list of names"
 	acceptedReleases = "a list of model or model@version"
 	acceptedHashes   = "a list of 64 hex digits each, as printed by `marigoldscale keys hash`"
 	acceptedSteps    = "a list of {share = 0 to 1, sessions = 0 to 1000000000, evidence = 0 to 1000000000}"
 )
 
-var name = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
-
 // teamText is a team with its grants as they are written.
 type teamText struct {
 	fleet.Team
@@ -47,11 +41,11 @@
 	words := []string{"batch", "normal", "high", "urgent"}
 	values := []fleet.Priority{fleet.PriorityBatch, fleet.PriorityNormal, fleet.PriorityHigh, fleet.PriorityUrgent}
 	return []input.Field[team]{
-		input.Texts("keys", acceptedHashes, anything, func(t *team) *[]string { return &t.keys }),
+		input.Texts("keys", acceptedHashes, input.Any, func(t *team) *[]string { return &t.keys }),
 		input.Texts("models", acceptedReleases, isGrant, func(t *team) *[]string { return &t.grants }),
-		input.Texts("services", acceptedNames, name.MatchString, func(t *team) *[]ident.ServiceID { return &t.Services }),
+		input.Texts("services", acceptedNames, input.IsName, func(t *team) *[]ident.ServiceID { return &t.Services }),
 		input.Float("target", "", 0, 1, ident.Quality(0), func(t *team) *ident.Quality { return &t.Target }),
-		input.Texts("cheaper", acceptedNames, name.MatchString, func(t *team) *[]ident.ModelID { return &t.Cheaper }),
+		input.Texts("cheaper", acceptedNames, input.IsName, func(t *team) *[]ident.ModelID { return &t.Cheaper }),
 		input.Int("weight", "", 1, 1000, 1, func(t *team) *int { return &t.Weight }),
 		input.Choice("priority", words, values, "normal", func(t *team) *fleet.Priority { return &t.Priority }),
 		input.Float("rate", "requests a second, 0 for no limit", 0, maxRate, 0.0, func(t *team) *float64 { return &t.Rate }),
@@ -65,9 +59,9 @@
 	return []input.Field[model]{
 		input.Int("price", "micros per 1,000 tokens", 0, maxPrice, ident.Micros(0), func(m *model) *ident.Micros { return &m.Price }).Require(),
 		input.Float("quality", "", 0, 1, ident.Quality(0), func(m *model) *ident.Quality { return &m.Quality }).Require(),
-		input.Text("default", acceptedName, "", name.MatchString, func(m *model) *ident.VersionID { return &m.Default }).Require(),
-		input.Texts("versions", acceptedNames, name.MatchString, func(m *model) *[]ident.VersionID { return &m.Versions }).Require(),
-		input.Texts("withdrawn", acceptedNames, name.MatchString, func(m *model) *[]ident.VersionID { return &m.Withdrawn }),
+		input.Text("default", input.AcceptedName, "", input.IsName, func(m *model) *ident.VersionID { return &m.Default }).Require(),
+		input.Texts("versions", acceptedNames, input.IsName, func(m *model) *[]ident.VersionID { return &m.Versions }).Require(),
+		input.Texts("withdrawn", acceptedNames, input.IsName, func(m *model) *[]ident.VersionID { return &m.Withdrawn }),
 	}
 }
 
@@ -82,7 +76,7 @@
 
 func zoneFields() []input.Field[fleet.Zone] {
 	return []input.Field[fleet.Zone]{
-		input.Text("region", acceptedName, "", name.MatchString, func(z *fleet.Zone) *ident.RegionID { return &z.Region }).Require(),
+		input.Text("region", input.AcceptedName, "", input.IsName, func(z *fleet.Zone) *ident.RegionID { return &z.Region }).Require(),
 		input.Bool("out", false, func(z *fleet.Zone) *bool { return &z.Out }),
 	}
 }
@@ -90,10 +84,10 @@
 func endpointFields() []input.Field[endpointText] {
 	type spec = endpointText
 	return []input.Field[spec]{
-		input.Text("zone", acceptedName, "", name.MatchString, func(e *spec) *ident.ZoneID { return &e.Zone }).Require(),
+		input.Text("zone", input.AcceptedName, "", input.IsName, func(e *spec) *ident.ZoneID { return &e.Zone }).Require(),
 		input.Text("address", "host:port", "", isAddress, func(e *spec) *string { return &e.Address }).Require(),
 		input.Text("release", "model@version", "", isRelease, func(e *spec) *string { return &e.release }),
-		input.Text("service", acceptedName, "", name.MatchString, func(e *spec) *ident.ServiceID { return &e.Service }),
+		input.Text("service", input.AcceptedName, "", input.IsName, func(e *spec) *ident.ServiceID { return &e.Service }),
 		input.Int("slots", "requests at once", 1, maxSlots, 1, func(e *spec) *int { return &e.Slots }).Require(),
 		input.Int("cold", "requests at once", 0, maxSlots, 1, func(e *spec) *int { return &e.Cold }),
 		input.Bool("fenced", false, func(e *spec) *bool { return &e.Fenced }),
@@ -104,7 +98,7 @@
 	type rollout = fleet.Rollout
 	preset := defaultLimits()
 	return []input.Field[rollout]{
-		input.Text("to", acceptedName, "", name.MatchString, func(r *rollout) *ident.VersionID { return &r.To }).Require(),
+		input.Text("to", input.AcceptedName, "", input.IsName, func(r *rollout) *ident.VersionID { return &r.To }).Require(),
 		input.Tables("steps", acceptedSteps, "the standard steps", stepFields(), func(r *rollout) *[]fleet.Step { return &r.Steps }),
 		input.Bool("paused", false, func(r *rollout) *bool { return &r.Paused }),
 		input.Bool("aborted", false, func(r *rollout) *bool { return &r.Aborted }),
@@ -133,22 +127,14 @@
 
 func isRelease(text string) bool {
 	r, err := ident.ParseRelease(text)
-	return err == nil && name.MatchString(string(r.Model)) && name.MatchString(string(r.Version))
+	return err == nil && input.IsName(string(r.Model)) && input.IsName(string(r.Version))
 }
 
 func isGrant(text string) bool {
-	return name.MatchString(text) || isRelease(text)
+	return input.IsName(text) || isRelease(text)
 }
 
+// isAddress wants a port that something can be reached on.
 func isAddress(text string) bool {
-	host, port, err := net.SplitHostPort(text)
-	if err != nil || host == "" {
-		return false
-	}
-	n, err := strconv.ParseUint(port, 10, 16)
-	return err == nil && n > 0
-}
-
-func anything(string) bool {
-	return true
+	return input.IsAddress(text) && !strings.HasSuffix(text, ":0")
 }
--- a/internal/config/load_test.go
+++ b/internal/config/load_test.go
@@ -244,6 +244,7 @@
 			lines = append(lines, d.String())
 		}
 		Expect(lines).To(ContainElements("~ endpoint.one.slots: 4 -> 5", `+ zone.norte.region = "lima"`))
+		Expect(lines).To(HaveLen(3), "the slots, and the region and out of the new zone")
 		Expect(config.Diff(now, now)).To(BeEmpty())
 	})
 })
--- a/internal/config/overlay.go
+++ b/internal/config/overlay.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"github.com/marigoldscale/marigoldscale/internal/fleet"
+	"github.com/marigoldscale/marigoldscale/internal/input"
 	"github.com/marigoldscale/marigoldscale/pkg/ident"
 )
 
@@ -75,7 +76,7 @@
 
 func (b *builder) overlayStart(o *object) {
 	version, isText := o.value().(string)
-	if !isText || !name.MatchString(version) {
+	if !isText || !input.IsName(version) {
 		b.overlayProblem(o, "value is not accepted", "a version of the model")
 		return
 	}
--- a/internal/config/table.go
+++ b/internal/config/table.go
@@ -187,14 +187,14 @@
 	if k == kindWithdrawn {
 		return isRelease(key)
 	}
-	return name.MatchString(key)
+	return input.IsName(key)
 }
 
 func acceptedKey(k kind) string {
 	if k == kindWithdrawn {
 		return "model@version"
 	}
-	return acceptedName
+	return input.AcceptedName
 }
 
 func tableNames() string {
--- a/internal/publsh/machine.go
+++ b/internal/publsh/machine.go
@@ -40,9 +40,9 @@
 }
 
 const (
-	maxFails  = 12               // failed calls of one publication
-	maxMoves  = 200              // lost races of one publication
-	patience  = 10 * time.Second // with a platform that does not answer
+	maxFails  = 12              // failed calls of one publication
+	maxMoves  = 200             // lost races of one publication
+	patience  = 5 * time.Second // with a platform that does not answer
 	pauseBase = 50 * time.Millisecond
 	pauseMax  = 2 * time.Second
 )
@@ -236,7 +236,7 @@
 }
 
 func (m *Machine) finish(generation ident.Generation) Action {
-	result := Result{Generation: generation, Changed: m.changed, Kept: m.kept()}
+	result := Result{Generation: generation, Changed: append([]string{}, m.changed...), Kept: m.kept()}
 	if m.target != nil {
 		result.Digest = m.target.digest()
 	} else {
@@ -247,15 +247,15 @@
 
 // kept gives the paths in force that a tree lacks, but for the commands' own.
 func (m *Machine) kept() []string {
+	kept := []string{}
 	tree, ok := m.request.Change.(Tree)
 	if !ok {
-		return nil
+		return kept
 	}
 	mine := map[string]bool{}
 	for _, f := range tree.Files {
 		mine[f.Path] = true
 	}
-	var kept []string
 	for _, f := range m.target.list() {
 		if !mine[f.Path] && strings.HasPrefix(f.Path, tree.Under) && !strings.HasPrefix(f.Path, config.OverlayPrefix) {
 			kept = append(kept, f.Path)
--- a/internal/setup/load.go
+++ b/internal/setup/load.go
@@ -2,11 +2,7 @@
 
 import (
 	"encoding/hex"
-	"net"
-	"net/url"
 	"os"
-	"regexp"
-	"strconv"
 	"strings"
 	"time"
 
@@ -14,10 +10,7 @@
 	"github.com/marigoldscale/marigoldscale/pkg/ident"
 )
 
-var word = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
-
 const (
-	acceptedWord    = "1 to 63 letters, digits, dots, dashes and underscores"
 	acceptedAddress = "host:port"
 	acceptedURL     = "an http or https URL"
 )
@@ -119,7 +112,7 @@
 		}},
 		{Name: "trace", Fields: []input.Field[Settings]{
 			path("file", "JSON lines of spans", func(s *Settings) *string { return &s.Trace.File }),
-			input.Text("otlp", acceptedAddress, `""`, emptyOr(address), func(s *Settings) *string { return &s.Trace.OTLP }),
+			input.Text("otlp", acceptedAddress, `""`, emptyOr(input.IsAddress), func(s *Settings) *string { return &s.Trace.OTLP }),
 		}},
 		{Name: "limits", Fields: limitFields()},
 		{Name: "journal", Fields: journalFields()},
@@ -132,13 +125,13 @@
 
 func topFields() []input.Field[Settings] {
 	return []input.Field[Settings]{
-		input.Text("router", acceptedWord, "", word.MatchString, func(s *Settings) *ident.RouterID { return &s.Router }).Require(),
-		input.Text("zone", acceptedWord, "", word.MatchString, func(s *Settings) *ident.ZoneID { return &s.Zone }).Require(),
-		input.Text("listen", acceptedAddress, "", address, func(s *Settings) *string { return &s.Listen }).Require(),
-		input.Text("admin", acceptedAddress, "", address, func(s *Settings) *string { return &s.Admin }).Require(),
-		input.Text("peer", acceptedAddress, "", address, func(s *Settings) *string { return &s.Peer }).Require(),
-		input.Text("platform", acceptedURL, "", webURL, func(s *Settings) *string { return &s.Platform }).Require(),
-		input.Text("rater", acceptedURL, `""`, emptyOr(webURL), func(s *Settings) *string { return &s.Rater }),
+		input.Text("router", input.AcceptedName, "", input.IsName, func(s *Settings) *ident.RouterID { return &s.Router }).Require(),
+		input.Text("zone", input.AcceptedName, "", input.IsName, func(s *Settings) *ident.ZoneID { return &s.Zone }).Require(),
+		input.Text("listen", acceptedAddress, "", input.IsAddress, func(s *Settings) *string { return &s.Listen }).Require(),
+		input.Text("admin", acceptedAddress, "", input.IsAddress, func(s *Settings) *string { return &s.Admin }).Require(),
+		input.Text("peer", acceptedAddress, "", input.IsAddress, func(s *Settings) *string { return &s.Peer }).Require(),
+		input.Text("platform", acceptedURL, "", input.IsURL, func(s *Settings) *string { return &s.Platform }).Require(),
+		input.Text("rater", acceptedURL, `""`, emptyOr(input.IsURL), func(s *Settings) *string { return &s.Rater }),
 	}
 }
 
@@ -180,21 +173,7 @@
 }
 
 func path(name, holds string, at func(*Settings) *string) input.Field[Settings] {
-	return input.Text(name, "path of a file: "+holds, `""`, func(string) bool { return true }, at)
-}
-
-func address(text string) bool {
-	host, port, err := net.SplitHostPort(text)
-	if err != nil || host == "" {
-		return false
-	}
-	n, err := strconv.ParseUint(port, 10, 16)
-	return err == nil && n <= 65535
-}
-
-func webURL(text string) bool {
-	u, err := url.Parse(text)
-	return err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
+	return input.Text(name, "path of a file: "+holds, `""`, input.Any, at)
 }
 
 func hexKey(text string) bool {
