List routers with the platform, and pass service endpoints between peers

Cause: renewals in the list of instances named no content type and were refused, and the zero release of a plain service's endpoint did not read back, so configurations with one did not pass between routers. Ruled out: the stand-in, which refuses as a platform would. Before: no router listed by the platform.

--- a/internal/plat/client.go
+++ b/internal/plat/client.go
@@ -22,8 +22,10 @@
 	// maxReply is the largest reply that the client reads, in bytes.
 	maxReply = 64 << 20
 	// watchGrace is how long a reply to a watch may be late.
-	watchGrace      = 2 * time.Second
-	headerVersion   = "X-Version"
+	watchGrace    = 2 * time.Second
+	headerVersion = "X-Version"
+	// contentType is that of every body which the router writes.
+	contentType     = "application/json"
 	headerIfVersion = "If-Version"
 )
 
@@ -196,7 +198,10 @@
 		c.meter[class].refused.Inc(1)
 		return reply{}, err
 	}
-	header := http.Header{headerIfVersion: {strconv.FormatUint(uint64(expect), 10)}}
+	header := http.Header{
+		headerIfVersion: {strconv.FormatUint(uint64(expect), 10)},
+		"Content-Type":  {contentType},
+	}
 	return c.call(ctx, class, method, path, body, header, c.retry.Timeout)
 }
 
--- a/internal/router/admin.go
+++ b/internal/router/admin.go
@@ -70,6 +70,7 @@
 		Self:      v.Self.ID,
 		At:        now,
 		Digest:    v.Config.Digest,
+		Stale:     r.settings.Times.Stale,
 		Routers:   v.Fleet,
 		Endpoints: []status.Endpoint{},
 		Zones:     []status.Zone{},
--- a/pkg/ident/ident.go
+++ b/pkg/ident/ident.go
@@ -76,13 +76,21 @@
 	return string(r.Model) + "@" + string(r.Version)
 }
 
-// MarshalText lets a release serve as a key of a JSON object.
+// MarshalText lets a release serve as a key of a JSON object. The zero release
+// is the empty text.
 func (r Release) MarshalText() ([]byte, error) {
+	if r == (Release{}) {
+		return nil, nil
+	}
 	return []byte(r.String()), nil
 }
 
 // UnmarshalText reads the form that String writes.
 func (r *Release) UnmarshalText(text []byte) error {
+	if len(text) == 0 {
+		*r = Release{}
+		return nil
+	}
 	parsed, err := ParseRelease(string(text))
 	if err != nil {
 		return err
--- /dev/null
+++ b/pkg/ident/ident_test.go
@@ -0,0 +1,28 @@
+package ident_test
+
+import (
+	"encoding/json"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+func TestIdent(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "ident")
+}
+
+var _ = DescribeTable("a release as JSON",
+	func(r ident.Release) {
+		text, err := json.Marshal(map[ident.Release]ident.Release{r: r})
+		Expect(err).NotTo(HaveOccurred())
+		var back map[ident.Release]ident.Release
+		Expect(json.Unmarshal(text, &back)).To(Succeed())
+		Expect(back).To(HaveKeyWithValue(r, r))
+	},
+	Entry("of a model", ident.Release{Model: "condor", Version: "2"}),
+	Entry("of a plain service's endpoint, which has none", ident.Release{}),
+)
