--- a/internal/model/check.go
+++ b/internal/model/check.go
@@ -30,6 +30,9 @@
 		if s.sent && s.verdict == verdictNotRun {
 			return fmt.Sprintf("submission %d was told not run and was sent", i)
 		}
+		if s.expects && s.verdict == verdictUnknown && w.faults.Refusals == w.scenario.Faults.Refusals {
+			return fmt.Sprintf("submission %d was told unknown, though the outcome was durable", i)
+		}
 	}
 	for key, n := range sent {
 		if n > 1 {
@@ -56,8 +59,16 @@
 	for _, b := range bills {
 		r.billed[b.Key]++
 	}
+	settings := shard.Defaults()
+	settings.Ring = w.scenario.Ring
+	state, err := shard.Load(context.Background(), w.store, 0, settings)
+	if err != nil {
+		r.broken = "shard can't be loaded: " + err.Error()
+		return r
+	}
 	for i := range w.requests {
-		if taken, ok := w.look(shard.Claim{Key: w.key(i), Nonce: "probe"}).(shard.Taken); ok {
+		result, _ := state.Decide(shard.Claim{Key: w.key(i), Nonce: "probe"})
+		if taken, ok := result.(shard.Taken); ok {
 			r.claims[w.key(i)] = taken
 		}
 	}
@@ -107,21 +118,6 @@
 	return ""
 }
 
-// look asks a log that is loaded afresh, without writing.
-func (w *World) look(claim shard.Claim) shard.Result {
-	settings := shard.Defaults()
-	settings.Ring = w.scenario.Ring
-	log := shard.NewLog(0, "probe", settings)
-	for _, a := range log.Step(now, shard.Propose{Ticket: 1, Record: claim}) {
-		for _, b := range log.Step(now, w.store.perform(a)) {
-			if r, ok := b.(shard.Reply); ok {
-				return r.Result
-			}
-		}
-	}
-	return nil
-}
-
 // settled tells whether nothing but late writes and new submissions can happen
 // any more.
 func (w *World) settled() bool {
--- a/internal/model/router.go
+++ b/internal/model/router.go
@@ -9,6 +9,9 @@
 func (w *World) submit(i, r int) {
 	s := &w.requests[i]
 	s.router = r
+	for _, e := range w.requests[:i] {
+		s.expects = s.expects || e.recorded && e.request.Key == s.request.Key
+	}
 	if s.request.Idempotent {
 		s.sent = true
 		w.finish(i)
@@ -82,7 +85,7 @@
 	dead.calls = nil
 	var copies []shard.Record
 	for _, p := range dead.log.Pending() {
-		if w.copied(r, p) {
+		if w.copied(p) {
 			copies = append(copies, p)
 		}
 	}
@@ -111,12 +114,9 @@
 }
 
 // copied tells whether peers hold a copy of a pending record: it was answered
-// with Queued.
-func (w *World) copied(r int, record shard.Record) bool {
+// with Queued, here or by a dead router whose records this one adopted.
+func (w *World) copied(record shard.Record) bool {
 	for i, s := range w.requests {
-		if s.router != r {
-			continue
-		}
 		switch p := record.(type) {
 		case shard.Bill:
 			if p.Key == w.key(i) && s.bill {
--- a/internal/model/search.go
+++ b/internal/model/search.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -12,9 +14,13 @@
 // Move is one step of a history.
 type Move struct {
 	Name  string
+	Fault bool // something fails, or a caller or router goes away
 	apply func(*World)
 }
 
+// faults are the first words of moves that are faults.
+var faults = []string{"kill", "lose", "refuse", "break", "abandon"}
+
 // Violation is a history that breaks an invariant.
 type Violation struct {
 	Invariant string
@@ -84,7 +90,9 @@
 func (w *World) Moves() []Move {
 	var moves []Move
 	add := func(apply func(*World), format string, args ...any) {
-		moves = append(moves, Move{Name: fmt.Sprintf(format, args...), apply: apply})
+		name := fmt.Sprintf(format, args...)
+		kind, _, _ := strings.Cut(name, " ")
+		moves = append(moves, Move{Name: name, Fault: slices.Contains(faults, kind), apply: apply})
 	}
 	w.requestMoves(add)
 	for r := range w.routers {
--- a/internal/model/world.go
+++ b/internal/model/world.go
@@ -74,6 +74,7 @@
 	durable  bool // the bill is durable and not only queued
 	recorded bool // the outcome is durable and not only queued
 	granted  bool
+	expects  bool // an outcome was durable when it was submitted
 	released bool // a release was proposed
 }
 
--- a/internal/shard/rebuild.go
+++ b/internal/shard/rebuild.go
@@ -1,8 +1,12 @@
 package shard
 
 import (
+	"context"
+	"fmt"
 	"strings"
 
+	"github.com/pkg/errors"
+
 	"github.com/marigoldscale/marigoldscale/internal/plat"
 )
 
@@ -20,6 +24,22 @@
 	version plat.Version
 }
 
+// ErrTorn means that a shard was written while it was listed; list it again.
+var ErrTorn = errors.New("shard was written while it was listed")
+
+// Load reads a shard's state, without the bills that moved to segments.
+func Load(ctx context.Context, platform plat.Platform, shard ID, settings Settings) (*State, error) {
+	objects, err := platform.List(ctx, plat.ClassStatus, shard.Prefix())
+	if err != nil {
+		return nil, fmt.Errorf("list shard %d: %w", shard, err)
+	}
+	l := NewLog(shard, "", settings)
+	if !l.rebuild(objects) {
+		return nil, fmt.Errorf("load shard %d: %w", shard, ErrTorn)
+	}
+	return l.state, nil
+}
+
 // rebuild takes the state from a listing. It fails if the listing is torn,
 // which happens when another router wrote while it was made.
 func (l *Log) rebuild(objects []plat.Object) bool {
