--- a/internal/casc/casc.go
+++ b/internal/casc/casc.go
@@ -21,8 +21,8 @@
 	// Trusted means that the lower bound of the model's quality meets the
 	// target, so that an answer that could not be rated may be passed on.
 	Trusted bool
-	// Need is the expected time of the next rung's whole answer.
-	Need time.Duration
+	// Next is the expected time of the next rung's whole answer.
+	Next time.Duration
 }
 
 // Ladder is the models to try, the cheapest first. Only the last rung's answer
@@ -50,26 +50,13 @@
 	Seed     uint64 // hash of the request, decides on exploration and sampling
 	Deadline time.Time
 	Rater    Rater
-	// Usable tells whether any allowed release of the model has a pool that
-	// takes work. It is asked only about models that the team allows.
+	// Usable tells whether any release of the model that the team allows has a
+	// pool that takes work.
 	Usable func(ident.ModelID) bool
 	// Need gives the expected time of a model's whole answer; nil for unknown.
 	Need func(ident.ModelID) time.Duration
 }
 
-// Plan chooses the ladder of the lowest expected cost whose expected quality
-// meets the team's target. The ladder has no rung if no model that the team
-// allows is usable.
-func Plan(now time.Time, config *fleet.Config, request Request, estimates *Estimates) Ladder {
-	_ = now
-	_ = estimates
-	m, ok := config.Models[request.Wanted]
-	if !ok || !request.Usable(request.Wanted) {
-		return Ladder{Reason: "the wanted model has no pool that takes work"}
-	}
-	return Ladder{Rungs: []Rung{{Model: m.ID}}, Quality: m.Quality, Cost: m.Price, Reason: "the wanted model"}
-}
-
 // Rating is what the rater said of an answer. It is sealed: Rated or Unrated.
 type Rating interface{ rating() }
 
@@ -92,28 +79,33 @@
 // Escalate drops the answer and runs the next rung.
 type Escalate struct{ Next int }
 
-// AcceptUnrated passes on an answer of unknown quality, or the best there is.
+// AcceptUnrated passes on an answer that did not prove itself, because there
+// is nothing better to be had in time.
 type AcceptUnrated struct{ Reason string }
 
 func (Accept) verdict()        {}
 func (Escalate) verdict()      {}
 func (AcceptUnrated) verdict() {}
 
-// Judge decides on the answer of the rung at index.
+// Judge decides on the answer of the rung at index. The caller waits for the
+// rater at most for the rung's patience, and then passes Unrated.
 func Judge(now time.Time, ladder Ladder, index int, rating Rating, deadline time.Time) Verdict {
-	rung := ladder.Rungs[index]
+	rung := &ladder.Rungs[index]
 	if !rung.Rated {
 		return Accept{}
 	}
-	rated, known := rating.(Rated)
-	if known && rated.Quality >= rung.Threshold {
-		return Accept{}
-	}
-	if index+1 >= len(ladder.Rungs) || now.Add(rung.Need).After(deadline) {
-		return AcceptUnrated{Reason: "no time or rung is left for another model"}
+	switch r := rating.(type) {
+	case Rated:
+		if r.Quality >= rung.Threshold {
+			return Accept{}
+		}
+	case Unrated:
+		if rung.Trusted {
+			return AcceptUnrated{Reason: "the rater did not answer in time and the model is trusted in this class"}
+		}
 	}
-	if !known && rung.Trusted {
-		return AcceptUnrated{Reason: "the rater did not answer in time and the model is trusted"}
+	if index+1 >= len(ladder.Rungs) || now.Add(rung.Next).After(deadline) {
+		return AcceptUnrated{Reason: "no time is left for another model"}
 	}
 	return Escalate{Next: index + 1}
 }
--- a/internal/casc/estimates.go
+++ b/internal/casc/estimates.go
@@ -8,43 +8,63 @@
 )
 
 // Levels is the number of quality levels that ratings are counted by, evenly
-// from 0 to 1. A rating between two levels is divided between them.
-const Levels = 11
+// from 0 to 1. A rating between two levels is divided between them, which
+// keeps the mean.
+const Levels = 21
 
 // halfLife is the time after which a rating counts half.
 const halfLife = 30 * time.Minute
 
+// negligible is the weight in ratings below which an entry is forgotten.
+const negligible = 0.05
+
+// maxKeys bounds the keys that estimates are kept for, since classes come with
+// the callers' requests.
+const maxKeys = 4096
+
 // Source is one life of a router.
 type Source struct {
 	Router      ident.RouterID `json:"router"`
 	Incarnation uint64         `json:"incarnation"`
 }
 
-// Key names what quality is estimated for.
+// Key names what quality is estimated for. Requests that a cheaper model has
+// failed at are harder than the rest, so they are kept apart.
 type Key struct {
-	Class ident.ClassID `json:"class"`
-	Model ident.ModelID `json:"model"`
+	Class     ident.ClassID `json:"class"`
+	Model     ident.ModelID `json:"model"`
+	Escalated bool          `json:"escalated,omitempty"`
 }
 
-// Entry is one source's decayed ratings of one key.
-type Entry struct {
-	Key    Key             `json:"key"`
-	Source Source          `json:"source"`
-	Count  uint64          `json:"count"` // ratings ever counted; the greater is the newer
-	At     time.Time       `json:"at"`    // to which Weight is decayed
+// Ratings are decayed weights of ratings by level.
+type Ratings struct {
+	At     time.Time       `json:"at"` // to which Weight is decayed
 	Weight [Levels]float64 `json:"weight"`
 }
 
+// Entry is one source's ratings of one key.
+type Entry struct {
+	Key     Key     `json:"key"`
+	Source  Source  `json:"source"`
+	Count   uint64  `json:"count"` // ratings ever counted; the greater is the newer
+	Ratings Ratings `json:"ratings"`
+}
+
 // Mark is a point in an Estimates' local history of changes.
 type Mark uint64
 
 // Estimates holds the ratings of the whole fleet, as far as this router has
 // heard of them. It belongs to the control thread; Clone gives readers a copy.
 type Estimates struct {
-	cells map[Key]map[Source]*record
+	cells map[Key]*cell
 	mark  Mark
 }
 
+type cell struct {
+	total   Ratings
+	sources map[Source]*record
+}
+
 type record struct {
 	entry Entry
 	mark  Mark
@@ -52,31 +72,38 @@
 
 // New gives estimates that rest on the models' declared qualities alone.
 func New() *Estimates {
-	return &Estimates{cells: map[Key]map[Source]*record{}}
+	return &Estimates{cells: map[Key]*cell{}}
 }
 
 // Observe counts one rating at its own router.
 func (e *Estimates) Observe(now time.Time, self Source, key Key, quality ident.Quality) {
-	r := e.record(key, self)
-	r.entry.decay(now)
+	c, ok := e.cell(key)
+	if !ok {
+		return
+	}
+	r := c.record(key, self)
 	r.entry.Count++
-	level := math.Min(1, math.Max(0, float64(quality))) * (Levels - 1)
-	low := min(int(level), Levels-2)
-	part := level - float64(low)
-	r.entry.Weight[low] += 1 - part
-	r.entry.Weight[low+1] += part
+	r.entry.Ratings.rate(now, quality)
+	c.total.rate(now, quality)
 	e.mark++
 	r.mark = e.mark
 }
 
 // Merge takes in entries from a peer, in any order and however often.
 func (e *Estimates) Merge(entries []Entry) {
-	for _, n := range entries {
-		r := e.record(n.Key, n.Source)
+	for i := range entries {
+		n := &entries[i]
+		c, ok := e.cell(n.Key)
+		if !ok {
+			continue
+		}
+		r := c.record(n.Key, n.Source)
 		if n.Count <= r.entry.Count {
 			continue
 		}
-		r.entry = n
+		c.total.add(&r.entry.Ratings, -1)
+		c.total.add(&n.Ratings, 1)
+		r.entry = *n
 		e.mark++
 		r.mark = e.mark
 	}
@@ -86,8 +113,8 @@
 // time.
 func (e *Estimates) Delta(since Mark) ([]Entry, Mark) {
 	var entries []Entry
-	for _, sources := range e.cells {
-		for _, r := range sources {
+	for _, c := range e.cells {
+		for _, r := range c.sources {
 			if r.mark > since {
 				entries = append(entries, r.entry)
 			}
@@ -96,42 +123,92 @@
 	return entries, e.mark
 }
 
-// Clone gives a copy that shares nothing.
-func (e *Estimates) Clone() *Estimates {
-	c := &Estimates{cells: make(map[Key]map[Source]*record, len(e.cells)), mark: e.mark}
-	for k, sources := range e.cells {
-		copied := make(map[Source]*record, len(sources))
-		for s, r := range sources {
-			x := *r
-			copied[s] = &x
+// Trim forgets entries that have decayed away, and with them routers that are
+// gone.
+func (e *Estimates) Trim(now time.Time) {
+	for k, c := range e.cells {
+		for s, r := range c.sources {
+			if r.entry.Ratings.sum(now) < negligible {
+				c.total.add(&r.entry.Ratings, -1)
+				delete(c.sources, s)
+			}
+		}
+		if len(c.sources) == 0 {
+			delete(e.cells, k)
 		}
-		c.cells[k] = copied
 	}
-	return c
 }
 
-func (e *Estimates) record(key Key, source Source) *record {
-	sources, ok := e.cells[key]
-	if !ok {
-		sources = map[Source]*record{}
-		e.cells[key] = sources
+// Clone gives a copy of the fleet's sums, for readers. It takes no more
+// ratings in.
+func (e *Estimates) Clone() *Estimates {
+	cells := make(map[Key]*cell, len(e.cells))
+	for k, c := range e.cells {
+		cells[k] = &cell{total: c.total}
+	}
+	return &Estimates{cells: cells, mark: e.mark}
+}
+
+func (e *Estimates) cell(key Key) (*cell, bool) {
+	c, ok := e.cells[key]
+	if ok {
+		return c, true
 	}
-	r, ok := sources[source]
+	if len(e.cells) >= maxKeys {
+		return nil, false
+	}
+	c = &cell{sources: map[Source]*record{}}
+	e.cells[key] = c
+	return c, true
+}
+
+func (c *cell) record(key Key, source Source) *record {
+	r, ok := c.sources[source]
 	if !ok {
 		r = &record{entry: Entry{Key: key, Source: source}}
-		sources[source] = r
+		c.sources[source] = r
 	}
 	return r
 }
 
-func (n *Entry) decay(now time.Time) {
-	factor := decayFactor(now.Sub(n.At))
-	for i := range n.Weight {
-		n.Weight[i] *= factor
+// rate adds one rating.
+func (r *Ratings) rate(now time.Time, quality ident.Quality) {
+	r.decay(now)
+	at := math.Min(1, math.Max(0, float64(quality))) * (Levels - 1)
+	low := min(int(at), Levels-2)
+	part := at - float64(low)
+	age := decayFactor(r.At.Sub(now))
+	r.Weight[low] += (1 - part) * age
+	r.Weight[low+1] += part * age
+}
+
+// add adds other with a sign, at the later of the two times.
+func (r *Ratings) add(other *Ratings, sign float64) {
+	r.decay(other.At)
+	factor := sign * decayFactor(r.At.Sub(other.At))
+	for i, w := range other.Weight {
+		r.Weight[i] = math.Max(0, r.Weight[i]+factor*w)
+	}
+}
+
+// decay brings the weights to a time, if it is later.
+func (r *Ratings) decay(now time.Time) {
+	if !now.After(r.At) {
+		return
 	}
-	if now.After(n.At) {
-		n.At = now
+	factor := decayFactor(now.Sub(r.At))
+	for i := range r.Weight {
+		r.Weight[i] *= factor
+	}
+	r.At = now
+}
+
+func (r *Ratings) sum(now time.Time) float64 {
+	sum := 0.0
+	for _, w := range r.Weight {
+		sum += w
 	}
+	return sum * decayFactor(now.Sub(r.At))
 }
 
 func decayFactor(age time.Duration) float64 {
