--- a/internal/shard/log_test.go
+++ b/internal/shard/log_test.go
@@ -73,22 +73,24 @@
 var _ = Describe("Log", func() {
 	It("does not move the manifest from a version that it did not fold", func() {
 		p := plat.NewMemory(nil)
-		slow, fast := newBench("slow", p, plain), newBench("fast", p, plain)
+		ring := func(s *shard.Settings) { s.Ring = 4 }
+		slow, fast := newBench("slow", p, ring), newBench("fast", p, ring)
 		slow.hold = func(a shard.Action) bool {
 			w, ok := a.(shard.WriteObject)
 			return ok && strings.Contains(string(w.Key), "/part/")
 		}
-		Expect(slow.propose(1, claim(1, "s1"))).To(Equal(shard.Granted{}))
-		Expect(slow.propose(2, claim(2, "s2"))).To(Equal(shard.Granted{}))
+		for i := 1; i < 4; i++ {
+			Expect(slow.propose(shard.Ticket(i), claim(i, "s"))).To(Equal(shard.Granted{}))
+		}
 		Expect(slow.held).To(HaveLen(1), "its checkpoint waits")
-		for i := 3; i < 12; i++ {
+		for i := 4; i < 16; i++ {
 			Expect(fast.propose(shard.Ticket(i), claim(i, "f"))).To(Equal(shard.Granted{}))
 		}
-		slow.propose(3, claim(3, "s3")) // loads what fast wrote
+		Expect(slow.propose(4, claim(4, "s"))).To(BeAssignableToTypeOf(shard.Taken{}), "it loads what fast wrote")
 		slow.hold = func(shard.Action) bool { return false }
 		slow.do(slow.held[0])
-		after := newBench("after", p, plain)
-		for i := 1; i < 12; i++ {
+		after := newBench("after", p, ring)
+		for i := 1; i < 16; i++ {
 			Expect(after.propose(shard.Ticket(i), claim(i, "x"))).To(BeAssignableToTypeOf(shard.Taken{}), "claim %d", i)
 		}
 	})
