--- a/internal/casc/bench_test.go
+++ b/internal/casc/bench_test.go
@@ -42,7 +42,7 @@
 func BenchmarkMeasure(b *testing.B) {
 	for b.Loop() {
 		for _, r := range casc.Measure(1) {
-			b.Logf("%-32s %-27s cost %.3f quality %.3f worst class %.3f, second half: cost %.3f quality %.3f (target %.2f)",
+			fmt.Printf("%-32s %-27s cost %.3f quality %.3f worst class %.3f, second half: cost %.3f quality %.3f (target %.2f)\n",
 				r.Condition, r.Policy, r.Cost, r.Quality, r.Worst, r.LateCost, r.Late, r.Target)
 		}
 	}
--- a/internal/roll/bench_test.go
+++ b/internal/roll/bench_test.go
@@ -67,7 +67,7 @@
 func BenchmarkMeasure(b *testing.B) {
 	for b.Loop() {
 		for _, r := range roll.Measure(1) {
-			b.Logf("%-37s %-9s %-41s trials %2d withdrawn %.2f exposed %6.1f worst %4d bad requests %7.1f delay %s",
+			fmt.Printf("%-37s %-9s %-41s trials %2d withdrawn %.2f exposed %6.1f worst %4d bad requests %7.1f delay %s\n",
 				r.Method, r.Kind, r.Size, r.Trials, r.Withdrawn, r.Exposed, r.Worst, r.Bad, r.Delay)
 		}
 	}
--- a/internal/sess/homes.go
+++ b/internal/sess/homes.go
@@ -11,13 +11,14 @@
 // hashing, in different availability zones if there are two. Leaving routers
 // are passed over.
 func Homes(session ident.SessionKey, routers []fleet.Router) []ident.RouterID {
-	first, ok := best(session, routers, func(fleet.Router) bool { return true })
+	seed := hash(session)
+	first, ok := best(seed, routers, func(fleet.Router) bool { return true })
 	if !ok {
 		return nil
 	}
-	second, ok := best(session, routers, func(r fleet.Router) bool { return r.Zone != first.Zone })
+	second, ok := best(seed, routers, func(r fleet.Router) bool { return r.Zone != first.Zone })
 	if !ok {
-		second, ok = best(session, routers, func(r fleet.Router) bool { return r.ID != first.ID })
+		second, ok = best(seed, routers, func(r fleet.Router) bool { return r.ID != first.ID })
 	}
 	if !ok {
 		return []ident.RouterID{first.ID}
@@ -25,7 +26,7 @@
 	return []ident.RouterID{first.ID, second.ID}
 }
 
-func best(session ident.SessionKey, routers []fleet.Router, fits func(fleet.Router) bool) (fleet.Router, bool) {
+func best(session uint64, routers []fleet.Router, fits func(fleet.Router) bool) (fleet.Router, bool) {
 	var found fleet.Router
 	var top uint64
 	ok := false
@@ -41,10 +42,16 @@
 	return found, ok
 }
 
-func weight(session ident.SessionKey, router ident.RouterID) uint64 {
+// weight gives a router's rank for a session, from the session's hash.
+func weight(session uint64, router ident.RouterID) uint64 {
+	x := session ^ xxhash.Sum64String(string(router))
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+func hash(session ident.SessionKey) uint64 {
 	d := xxhash.New()
-	_, _ = d.WriteString(string(router))
-	_, _ = d.Write([]byte{0})
 	_, _ = d.WriteString(string(session.Team))
 	_, _ = d.Write([]byte{0})
 	_, _ = d.WriteString(string(session.Session))
--- a/internal/sess/sess.go
+++ b/internal/sess/sess.go
@@ -27,16 +27,32 @@
 	Renew   bool            // the caller and the home routers must get the new binding
 }
 
+// Facts are what is known about a session when one of its requests comes.
+type Facts struct {
+	Session    ident.SessionKey
+	Model      ident.ModelID
+	Team       *fleet.Team
+	Token      *Binding        // what the caller's token says, or nil
+	Remembered *Binding        // what the home routers remember, or nil
+	Chosen     ident.VersionID // what a new session would get now
+}
+
 // Resolve gives the version to run a session's request on: the one that the
-// session is bound to, by the caller's token or the routers' memory, or, for a
-// new or moved session, the one chosen by hash. token and remembered may be
-// nil.
-func Resolve(now time.Time, snapshot *fleet.Snapshot, session ident.SessionKey, model ident.ModelID, token, remembered *Binding, chosen ident.VersionID) Resolution {
-	bound := newer(matching(token, session, model), matching(remembered, session, model))
-	if bound != nil && snapshot.Allowed(ident.Release{Model: model, Version: bound.Version}) {
-		return Resolution{Binding: *bound, Renew: bound != token && token == nil}
+// session is bound to, or, if it has none or that was withdrawn, the chosen
+// one. A roll-out that steps on, is paused or is aborted moves no session.
+func Resolve(now time.Time, snapshot *fleet.Snapshot, facts Facts) Resolution {
+	bound := newer(facts.matching(facts.Token), facts.matching(facts.Remembered))
+	if bound != nil && facts.keeps(snapshot, bound) {
+		known := facts.Token != nil && *facts.Token == *bound
+		return Resolution{Binding: *bound, Renew: !known}
+	}
+	fresh := Binding{
+		Session:    facts.Session,
+		Model:      facts.Model,
+		Version:    facts.Chosen,
+		Generation: snapshot.Config.Generation,
+		Issued:     now,
 	}
-	fresh := Binding{Session: session, Model: model, Version: chosen, Generation: snapshot.Config.Generation, Issued: now}
 	if bound == nil {
 		return Resolution{Binding: fresh, Renew: true}
 	}
@@ -44,16 +60,23 @@
 	return Resolution{Binding: fresh, Moved: true, From: bound.Version, Renew: true}
 }
 
+// keeps tells whether a bound version may still run the session's requests.
+func (f *Facts) keeps(snapshot *fleet.Snapshot, bound *Binding) bool {
+	release := ident.Release{Model: f.Model, Version: bound.Version}
+	return snapshot.Allowed(release) && f.Team.Allows(release)
+}
+
 // matching gives the binding unless it is of another session or model.
-func matching(b *Binding, session ident.SessionKey, model ident.ModelID) *Binding {
-	if b == nil || b.Session != session || b.Model != model {
+func (f *Facts) matching(b *Binding) *Binding {
+	if b == nil || b.Session != f.Session || b.Model != f.Model {
 		return nil
 	}
 	return b
 }
 
-// newer gives the binding that more withdrawals have led to; of two that
-// differ otherwise, the one first issued, which every router chooses alike.
+// newer gives the binding that more withdrawals have led to. Of two that were
+// made at once by two routers it gives the one first issued, then the one with
+// the lesser version, so that all routers settle on the same.
 func newer(a, b *Binding) *Binding {
 	switch {
 	case a == nil:
@@ -61,12 +84,16 @@
 	case b == nil:
 		return a
 	case a.Moves != b.Moves:
-		if a.Moves > b.Moves {
-			return a
-		}
-		return b
-	case b.Issued.Before(a.Issued):
-		return b
+		return pick(a.Moves > b.Moves, a, b)
+	case !a.Issued.Equal(b.Issued):
+		return pick(a.Issued.Before(b.Issued), a, b)
+	}
+	return pick(a.Version <= b.Version, a, b)
+}
+
+func pick(first bool, a, b *Binding) *Binding {
+	if first {
+		return a
 	}
-	return a
+	return b
 }
--- /dev/null
+++ b/internal/sess/sess_test.go
@@ -0,0 +1,256 @@
+package sess_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+
+	"github.com/marigoldscale/marigoldscale/internal/fleet"
+	"github.com/marigoldscale/marigoldscale/internal/sess"
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+var (
+	start   = time.Unix(1000, 0).UTC()
+	session = ident.SessionKey{Team: "t", Session: "s"}
+	team    = &fleet.Team{ID: "t", Models: []fleet.ModelGrant{{Model: "m"}}}
+)
+
+func snapshot(withdrawn ...ident.VersionID) *fleet.Snapshot {
+	s := &fleet.Snapshot{
+		Config: &fleet.Config{Models: map[ident.ModelID]*fleet.Model{
+			"m": {ID: "m", Default: "1", Versions: []ident.VersionID{"1", "2", "3"}},
+		}},
+		Withdrawn: map[ident.Release]fleet.Withdrawal{},
+	}
+	for _, v := range withdrawn {
+		s.Withdrawn[ident.Release{Model: "m", Version: v}] = fleet.Withdrawal{}
+	}
+	return s
+}
+
+func binding(version ident.VersionID, moves uint32) *sess.Binding {
+	return &sess.Binding{Session: session, Model: "m", Version: version, Moves: moves, Issued: start}
+}
+
+var _ = Describe("Resolve", func() {
+	facts := func(token, remembered *sess.Binding, chosen ident.VersionID) sess.Facts {
+		return sess.Facts{Session: session, Model: "m", Team: team, Token: token, Remembered: remembered, Chosen: chosen}
+	}
+
+	It("keeps the version through anything but a withdrawal, and says when it moves", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			versions := []ident.VersionID{"1", "2", "3"}
+			s := snapshot()
+			var token, remembered *sess.Binding
+			var version ident.VersionID
+			for i := range rapid.IntRange(1, 30).Draw(t, "events") {
+				now := start.Add(time.Duration(i) * time.Second)
+				switch rapid.IntRange(0, 4).Draw(t, "event") {
+				case 0: // the home routers are replaced
+					remembered = nil
+				case 1: // the caller loses its token, unless it is all there is
+					if remembered != nil {
+						token = nil
+					}
+				case 2: // a withdrawal, but for one version
+					if v := rapid.SampledFrom(versions[1:]).Draw(t, "withdrawn"); true {
+						s.Withdrawn[ident.Release{Model: "m", Version: v}] = fleet.Withdrawal{}
+					}
+				}
+				chosen := rapid.SampledFrom(versions).Draw(t, "chosen")
+				if !s.Allowed(ident.Release{Model: "m", Version: chosen}) {
+					chosen = "1"
+				}
+				r := sess.Resolve(now, s, facts(token, remembered, chosen))
+				withdrawn := version != "" && !s.Allowed(ident.Release{Model: "m", Version: version})
+				if r.Moved != withdrawn || r.Moved && r.From != version {
+					t.Fatalf("moved %v from %q, but version %q withdrawn: %v", r.Moved, r.From, version, withdrawn)
+				}
+				if version != "" && !withdrawn && r.Binding.Version != version {
+					t.Fatalf("version %q became %q", version, r.Binding.Version)
+				}
+				if !s.Allowed(ident.Release{Model: "m", Version: r.Binding.Version}) {
+					t.Fatalf("version %q is withdrawn", r.Binding.Version)
+				}
+				version = r.Binding.Version
+				if r.Renew {
+					b := r.Binding
+					token, remembered = &b, &b
+				}
+			}
+		})
+	})
+
+	It("follows the token or the memory that knows of more moves", func() {
+		s := snapshot("2")
+		r := sess.Resolve(start, s, facts(binding("2", 0), binding("3", 1), "1"))
+		Expect(r.Binding.Version).To(Equal(ident.VersionID("3")))
+		Expect(r.Moved).To(BeFalse(), "the move was said before")
+		Expect(r.Renew).To(BeTrue(), "the token is old")
+		r = sess.Resolve(start, s, facts(binding("3", 1), binding("2", 0), "1"))
+		Expect(r.Binding.Version).To(Equal(ident.VersionID("3")))
+	})
+
+	It("settles on one of two versions bound at once, from either side", func() {
+		a, b := binding("1", 0), binding("2", 0)
+		one := sess.Resolve(start, snapshot(), facts(a, b, "3"))
+		two := sess.Resolve(start, snapshot(), facts(b, a, "3"))
+		Expect(one.Binding).To(Equal(two.Binding))
+	})
+
+	It("takes no binding of another session or model", func() {
+		other := binding("2", 5)
+		other.Session.Session = "other"
+		Expect(sess.Resolve(start, snapshot(), facts(other, nil, "1")).Binding.Version).To(Equal(ident.VersionID("1")))
+		other = binding("2", 5)
+		other.Model = "n"
+		Expect(sess.Resolve(start, snapshot(), facts(nil, other, "1")).Binding.Version).To(Equal(ident.VersionID("1")))
+	})
+
+	It("leaves a version that the team may no longer use", func() {
+		f := facts(binding("2", 0), nil, "1")
+		f.Team = &fleet.Team{ID: "t", Models: []fleet.ModelGrant{{Model: "m", Versions: []ident.VersionID{"1"}}}}
+		r := sess.Resolve(start, snapshot(), f)
+		Expect(r.Moved).To(BeTrue())
+		Expect(r.Binding.Version).To(Equal(ident.VersionID("1")))
+	})
+})
+
+var _ = Describe("A token", func() {
+	seal := func(k sess.Key) *sess.Sealer {
+		s, err := sess.New(k)
+		Expect(err).NotTo(HaveOccurred())
+		return s
+	}
+
+	It("opens for its own session alone, also after the key has changed", func() {
+		old := seal(sess.Key{1})
+		token, err := old.Seal(*binding("2", 3))
+		Expect(err).NotTo(HaveOccurred())
+		both, err := sess.New(sess.Key{2}, sess.Key{1})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(both.Open(session, token)).To(Equal(*binding("2", 3)))
+		_, err = both.Open(ident.SessionKey{Team: "u", Session: "s"}, token)
+		Expect(errors.Is(err, sess.ErrToken)).To(BeTrue())
+		_, err = seal(sess.Key{2}).Open(session, token)
+		Expect(errors.Is(err, sess.ErrToken)).To(BeTrue())
+	})
+
+	It("differs in its nonce from that of any other binding, and never opens when changed", func() {
+		s := seal(sess.Key{1})
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			a := binding(ident.VersionID(rapid.String().Draw(t, "version")), 1)
+			b := binding(a.Version, 2)
+			one, _ := s.Seal(*a)
+			two, _ := s.Seal(*b)
+			const nonce = 32 // base64 of 24 bytes
+			if one[:nonce] == two[:nonce] {
+				t.Fatal("two bindings share a nonce")
+			}
+			i := rapid.IntRange(0, len(one)-2).Draw(t, "place")
+			changed := []byte(one)
+			changed[i] ^= 1
+			if _, err := s.Open(session, sess.Token(changed)); err == nil {
+				t.Fatalf("a token changed at %d opens", i)
+			}
+		})
+		for _, bad := range []sess.Token{"", "x", "!!!!", sess.Token(make([]byte, 1<<16))} {
+			_, err := s.Open(session, bad)
+			Expect(errors.Is(err, sess.ErrToken)).To(BeTrue())
+		}
+	})
+})
+
+func routers(n int) []fleet.Router {
+	var list []fleet.Router
+	for i := range n {
+		list = append(list, fleet.Router{ID: ident.RouterID(fmt.Sprint("r", i)), Zone: ident.ZoneID(fmt.Sprint("z", i%3))})
+	}
+	return list
+}
+
+var _ = Describe("Homes", func() {
+	It("are in two zones, never leaving, and move only when a home goes", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			list := routers(rapid.IntRange(4, 30).Draw(t, "routers"))
+			key := ident.SessionKey{Team: "t", Session: ident.SessionID(rapid.String().Draw(t, "session"))}
+			homes := sess.Homes(key, list)
+			zone := map[ident.RouterID]ident.ZoneID{}
+			for _, r := range list {
+				zone[r.ID] = r.Zone
+			}
+			if len(homes) != 2 || zone[homes[0]] == zone[homes[1]] {
+				t.Fatalf("homes %v", homes)
+			}
+			gone := rapid.IntRange(0, len(list)-1).Draw(t, "gone")
+			list[gone].Leaving = true
+			after := sess.Homes(key, list)
+			for i, h := range homes {
+				if after[i] == list[gone].ID || h != list[gone].ID && homes[0] != list[gone].ID && after[i] != h {
+					t.Fatalf("homes %v became %v as %s left", homes, after, list[gone].ID)
+				}
+			}
+		})
+	})
+
+	It("take another router of the same zone if there is no other zone", func() {
+		list := routers(7)
+		Expect(sess.Homes(session, []fleet.Router{list[0], list[3]})).To(HaveLen(2))
+		Expect(sess.Homes(session, list[:1])).To(HaveLen(1))
+		Expect(sess.Homes(session, nil)).To(BeEmpty())
+	})
+})
+
+var _ = Describe("Cache", func() {
+	It("is bounded and never goes back to an older binding", func() {
+		c, err := sess.NewCache(10)
+		Expect(err).NotTo(HaveOccurred())
+		c.Put(*binding("3", 2))
+		c.Put(*binding("2", 1))
+		Expect(c.Get(session, "m")).To(Equal(binding("3", 2)))
+		for i := range 100 {
+			b := binding("1", 0)
+			b.Session.Session = ident.SessionID(fmt.Sprint(i))
+			c.Put(*b)
+		}
+		Expect(c.Len()).To(Equal(10))
+		_, err = sess.NewCache(0)
+		Expect(err).To(HaveOccurred())
+	})
+})
+
+func BenchmarkResolve(b *testing.B) {
+	s, f := snapshot(), sess.Facts{Session: session, Model: "m", Team: team, Token: binding("2", 0), Chosen: "1"}
+	b.ReportAllocs()
+	for b.Loop() {
+		sess.Resolve(start, s, f)
+	}
+}
+
+func BenchmarkToken(b *testing.B) {
+	s, err := sess.New(sess.Key{1})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		token, _ := s.Seal(*binding("2", 0))
+		if _, err := s.Open(session, token); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkHomes(b *testing.B) {
+	list := routers(360)
+	b.ReportAllocs()
+	for b.Loop() {
+		sess.Homes(session, list)
+	}
+}
