Name the types of membership, freshness and choice of peers

A router cut off with less than half of the listed routers stops serving, so that a partition is not mistaken for an outage of the platform.

--- /dev/null
+++ b/internal/gossip/fresh.go
@@ -0,0 +1,43 @@
+package gossip
+
+import "time"
+
+// Standing tells whether a router may serve on its configuration.
+type Standing int
+
+// The standings.
+const (
+	// StandingFresh means that someone confirmed the configuration as current a
+	// moment ago.
+	StandingFresh Standing = iota
+	// StandingTogether means that at least half of the routers are reached and
+	// none of them reaches the platform either, which is taken as an outage of
+	// the platform. The router goes on.
+	StandingTogether
+	// StandingAlone means that the router is cut off with less than half of the
+	// routers. It must refuse new work.
+	StandingAlone
+)
+
+// FreshFor is how long a confirmation of the configuration counts.
+const FreshFor = 3 * time.Second
+
+// Reach is what a router can reach.
+type Reach struct {
+	Confirmed time.Time // newest time at which anyone reached confirmed the configuration
+	Live      int       // other routers heard of late, whether listed or not
+	Listed    int       // other routers on the platform's last list, leaving ones left out
+}
+
+// Fresh tells how a router stands. A router that has not had any confirmation
+// since its start must not serve at all, which its caller sees to.
+func Fresh(now time.Time, reach Reach) Standing {
+	if now.Sub(reach.Confirmed) <= FreshFor {
+		return StandingFresh
+	}
+	// The router itself counts on both sides.
+	if 2*(reach.Live+1) >= reach.Listed+1 {
+		return StandingTogether
+	}
+	return StandingAlone
+}
--- /dev/null
+++ b/internal/gossip/targets.go
@@ -0,0 +1,76 @@
+// Package gossip decides which peers a router sends to, which routers it holds
+// to be alive, and whether its configuration is fresh enough to serve.
+package gossip
+
+import (
+	"time"
+
+	"github.com/marigoldscale/marigoldscale/internal/fleet"
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+// Kind tells items apart by how fast they must spread.
+type Kind int
+
+// The kinds of items.
+const (
+	// KindUrgent is a new generation, a withdrawal or a zone taken out. Each
+	// router sends it once, when it first hears of it.
+	KindUrgent Kind = iota
+	// KindRoutine is a heartbeat with what changed since the last one. Its
+	// generation and digest let the receiver see what either side lacks.
+	KindRoutine
+)
+
+// maxAllPairs is the largest fleet in which every router sends to every other.
+const maxAllPairs = 16
+
+// fanout is the number of peers that a router of a larger fleet passes an
+// urgent item on to.
+const fanout = 4
+
+// The time between two heartbeats of a router: to all others at once in a
+// small fleet, to one other in a larger one.
+const (
+	heartbeatAll = time.Second
+	heartbeatOne = 200 * time.Millisecond
+)
+
+// Interval gives the time between two rounds of heartbeats.
+func Interval(routers int) time.Duration {
+	if routers <= maxAllPairs {
+		return heartbeatAll
+	}
+	return heartbeatOne
+}
+
+// Targets gives the peers to send an item to: all of them in a small fleet,
+// else a few drawn by the seed. For an urgent item the seed is the item's hash;
+// for heartbeats it is the number of the round. Leaving routers are sent to as
+// well, for they still end their streams.
+func Targets(seed uint64, self ident.RouterID, routers []fleet.Router, kind Kind) []ident.RouterID {
+	others := make([]ident.RouterID, 0, len(routers))
+	for _, r := range routers {
+		if r.ID != self {
+			others = append(others, r.ID)
+		}
+	}
+	if len(routers) <= maxAllPairs {
+		return others
+	}
+	count := 1
+	if kind == KindUrgent {
+		count = fanout
+	}
+	return draw(newSource(seed, self), others, count)
+}
+
+// draw moves count random ids to the front and gives them.
+func draw(s *source, ids []ident.RouterID, count int) []ident.RouterID {
+	count = min(count, len(ids))
+	for i := range count {
+		j := i + s.below(len(ids)-i)
+		ids[i], ids[j] = ids[j], ids[i]
+	}
+	return ids[:count]
+}
--- a/internal/sess/sess_test.go
+++ b/internal/sess/sess_test.go
@@ -49,6 +49,7 @@
 			s := snapshot()
 			var token, remembered *sess.Binding
 			var version ident.VersionID
+			moves := uint32(0)
 			for i := range rapid.IntRange(1, 30).Draw(t, "events") {
 				now := start.Add(time.Duration(i) * time.Second)
 				switch rapid.IntRange(0, 4).Draw(t, "event") {
@@ -78,6 +79,12 @@
 				if !s.Allowed(ident.Release{Model: "m", Version: r.Binding.Version}) {
 					t.Fatalf("version %q is withdrawn", r.Binding.Version)
 				}
+				if r.Moved {
+					moves++
+				}
+				if r.Binding.Moves != moves {
+					t.Fatalf("%d moves counted of %d", r.Binding.Moves, moves)
+				}
 				version = r.Binding.Version
 				if r.Renew {
 					b := r.Binding
