--- a/internal/ctrl/view.go
+++ b/internal/ctrl/view.go
@@ -200,7 +200,7 @@
 	if c.config == nil || c.stopping || c.confirmed.IsZero() {
 		return false
 	}
-	return gossip.Fresh(now, c.confirmed, c.roster(now).heard, len(c.routers)) != gossip.StandingAlone
+	return gossip.Fresh(now, c.reachOf(now)) != gossip.StandingAlone
 }
 
 // RouterIDs gives the live routers that are not leaving, this one included,
@@ -228,3 +228,15 @@
 func (c *Control) Head() plat.Head {
 	return c.head
 }
+
+// reachOf gives what this router can reach.
+func (c *Control) reachOf(now time.Time) gossip.Reach {
+	m := c.roster(now)
+	listed := 0
+	for id := range c.listed {
+		if r, ok := c.routers[id]; ok && !r.router.Leaving {
+			listed++
+		}
+	}
+	return gossip.Reach{Confirmed: c.confirmed, Live: len(m.live) - 1, Listed: listed}
+}
