--- a/internal/serve/bind.go
+++ b/internal/serve/bind.go
@@ -139,8 +139,15 @@
 		}
 	}
 	remembered := s.Cache.Get(key, model)
-	resolved := sess.Resolve(now, view.Snapshot, key, model, token, remembered, choice.Version)
-	if resolved.Renew && remembered == nil {
+	resolved := sess.Resolve(now, view.Snapshot, sess.Facts{
+		Session:    key,
+		Model:      model,
+		Team:       request.Team,
+		Token:      token,
+		Remembered: remembered,
+		Chosen:     choice.Version,
+	})
+	if resolved.Renew && (remembered == nil || resolved.Moved) {
 		s.settleBinding(ctx, view, request, &resolved, choice)
 	}
 	s.Cache.Put(resolved.Binding)
