--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PREFIX ?= /usr/local
 VERSION ?= 0.1.0
-BINARIES = marigoldscale marigoldscaled marigoldstand
+BINARIES = marigoldscale marigoldscaled marigoldstand marigoldbench
 
 .PHONY: build test bench demo fmt generate install
 
@@ -11,7 +11,7 @@
 	go test -race -timeout 20m ./...
 
 bench: build
-	go run ./cmd/marigoldstand bench --out out
+	./bin/marigoldbench --out out
 
 demo: build
 	./scripts/demo
--- /dev/null
+++ b/internal/bench/crash.go
@@ -0,0 +1,62 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/marigoldscale/marigoldscale/internal/load"
+	"github.com/marigoldscale/marigoldscale/internal/stand"
+)
+
+const (
+	crashRate   = 60 // requests a second
+	crashLength = 12 * time.Second
+	crashAt     = 4 * time.Second
+)
+
+// benchCrash crashes an engine under load, and stops a router gracefully.
+func benchCrash(seed uint64) (Section, error) {
+	s := Section{
+		Name:    "crash",
+		About:   fmt.Sprintf("one of 6 engines crashes, or one of 6 routers stops gracefully, under %d requests/s", crashRate),
+		Columns: []string{"fault", "requests", "whole", "refused", "broken", "p95 first ms", "max first ms"},
+	}
+	faults := []struct {
+		name  string
+		cause func(*Site)
+	}{
+		{"none", func(*Site) {}},
+		{"engine crashes", func(site *Site) { site.Engines[0].SetFaults(stand.EngineFaults{Crash: true}) }},
+		{"router stops", func(site *Site) { site.stops[0]() }},
+	}
+	results := map[string]load.Result{}
+	for _, f := range faults {
+		result, err := measureCrash(seed, f.cause)
+		if err != nil {
+			return Section{}, fmt.Errorf("fault %q: %w", f.name, err)
+		}
+		all := result.All
+		results[f.name] = result
+		s.Rows = append(s.Rows, []string{
+			f.name, fmt.Sprint(all.Arrived), fmt.Sprint(all.Whole), fmt.Sprint(all.Refused + all.Failed),
+			fmt.Sprint(all.Broken), number(all.First.P95), number(all.First.Max),
+		})
+		s.Bounds = append(s.Bounds, atMost("streams broken, "+f.name, float64(all.Broken), 0, ""))
+	}
+	s.Data = results
+	return s, nil
+}
+
+func measureCrash(seed uint64, cause func(*Site)) (load.Result, error) {
+	site, err := NewSite(plainSite(6, 6))
+	if err != nil {
+		return load.Result{}, err
+	}
+	defer site.Close()
+	time.AfterFunc(crashAt, func() { cause(site) })
+	return site.Load(context.Background(), load.Plan{
+		Rate: crashRate, Spacing: load.SpacingPoisson, Length: crashLength, Seed: seed,
+		Mix: []load.Kind{{Name: "quick", Model: "condor", Weight: 1, Prompt: 400, Answer: 30}},
+	})
+}
--- /dev/null
+++ b/internal/bench/machines.go
@@ -0,0 +1,111 @@
+package bench
+
+import (
+	"fmt"
+
+	"github.com/marigoldscale/marigoldscale/internal/casc"
+	"github.com/marigoldscale/marigoldscale/internal/roll"
+	"github.com/marigoldscale/marigoldscale/internal/route"
+)
+
+// The names by which the measured rows are told apart.
+const (
+	policyOurs    = "choose"
+	policyRandom  = "random"
+	policyTurn    = "robin"
+	policyLeast   = "least"
+	policyCascade = "cascade"
+	methodOurs    = "exposure steps, sequential test"
+	methodFixed   = "10/50/100, looked at after each step"
+	goodKind      = "good"
+)
+
+// The sections of this file drive the decisions alone, in a time of their own:
+// their figures depend on the seed and not on the machine.
+
+func benchRoute(seed uint64) (Section, error) {
+	rows := route.Measure(seed)
+	s := Section{
+		Name:    "route",
+		About:   "time to the first token by policy: 8 routers, stale reports, one slow endpoint, hot prefixes",
+		Columns: []string{"load", "policy", "p50 ms", "p95 ms", "p99 ms"},
+		Data:    rows,
+	}
+	p95 := map[string]float64{}
+	for _, r := range rows {
+		s.Rows = append(s.Rows, []string{number(float64(r.Load)), r.Policy, millis(r.P50), millis(r.P95), millis(r.P99)})
+		p95[fmt.Sprint(r.Load, r.Policy)] = r.P95.Seconds()
+	}
+	for _, load := range []string{"0.5", "0.8", "0.95", "1.2"} {
+		for _, baseline := range []string{policyRandom, policyTurn, policyLeast} {
+			name := fmt.Sprintf("p95 at %s load against %s", load, baseline)
+			s.Bounds = append(s.Bounds, atMost(name, p95[load+policyOurs], p95[load+baseline], "s"))
+		}
+	}
+	return s, nil
+}
+
+func benchRollout(seed uint64) (Section, error) {
+	rows := roll.Measure(seed)
+	s := Section{
+		Name:    "rollout",
+		About:   "sessions that met a bad version, by kind of badness and method",
+		Columns: []string{"kind", "size", "method", "trials", "withdrawn", "exposed", "worst", "bad answers", "delay"},
+		Data:    rows,
+	}
+	for _, r := range rows {
+		s.Rows = append(s.Rows, []string{
+			r.Kind, r.Size, r.Method, fmt.Sprint(r.Trials), number(r.Withdrawn),
+			number(r.Exposed), fmt.Sprint(r.Worst), number(r.Bad), r.Delay.String(),
+		})
+	}
+	s.Bounds = rolloutBounds(rows)
+	return s, nil
+}
+
+// rolloutBounds compares with the fixed steps on the same trials, and the false
+// withdrawals with the test's stated error.
+func rolloutBounds(rows []roll.Row) []Bound {
+	fixed := map[string]float64{}
+	for _, r := range rows {
+		if r.Method == methodFixed {
+			fixed[r.Kind+r.Size] = r.Exposed
+		}
+	}
+	var bounds []Bound
+	for _, r := range rows {
+		if r.Method != methodOurs {
+			continue
+		}
+		if r.Kind == goodKind {
+			bounds = append(bounds, atMost("false withdrawals, "+r.Kind, r.Withdrawn, roll.Alpha, "of roll-outs"))
+			continue
+		}
+		bounds = append(bounds, atMost("exposed against fixed steps, "+r.Kind+" "+r.Size, r.Exposed, fixed[r.Kind+r.Size], "sessions"))
+	}
+	return bounds
+}
+
+func benchCascade(seed uint64) (Section, error) {
+	rows := casc.Measure(seed)
+	s := Section{
+		Name:    "cascade",
+		About:   "cost, as a share of always using the best model, and quality by policy",
+		Columns: []string{"condition", "policy", "cost", "quality", "worst class", "late cost", "late quality", "target"},
+		Data:    rows,
+	}
+	for _, r := range rows {
+		s.Rows = append(s.Rows, []string{
+			r.Condition, r.Policy, number(r.Cost), number(float64(r.Quality)), number(float64(r.Worst)),
+			number(r.LateCost), number(float64(r.Late)), number(float64(r.Target)),
+		})
+		if r.Policy != policyCascade {
+			continue
+		}
+		s.Bounds = append(s.Bounds,
+			atLeast("quality, "+r.Condition, float64(r.Quality), float64(r.Target), ""),
+			atLeast("quality of the worst class, "+r.Condition, float64(r.Worst), float64(r.Target), ""),
+			atMost("cost, "+r.Condition, r.Cost, 1, "of the best model's"))
+	}
+	return s, nil
+}
--- a/internal/router/admin.go
+++ b/internal/router/admin.go
@@ -58,11 +58,30 @@
 }
 
 func (r *Router) showStatus(c echo.Context) error {
+	shown, ok := r.Status(time.Now())
+	if !ok {
+		return c.JSON(http.StatusServiceUnavailable, status.Failure{Error: "no configuration is in force on this router yet; publish one"})
+	}
+	return c.JSON(http.StatusOK, shown)
+}
+
+// Status gives this router's view of the fleet; it is false before a
+// configuration is in force.
+func (r *Router) Status(now time.Time) (status.Status, bool) {
 	v := r.view.Load()
 	if v == nil {
-		return c.JSON(http.StatusServiceUnavailable, status.Failure{Error: "no configuration is in force on this router yet; publish one"})
+		return status.Status{}, false
+	}
+	return r.newStatus(now, v), true
+}
+
+// Generation gives the generation in force on this router, 0 for none.
+func (r *Router) Generation() ident.Generation {
+	v := r.view.Load()
+	if v == nil {
+		return 0
 	}
-	return c.JSON(http.StatusOK, r.newStatus(time.Now(), v))
+	return v.Config.Generation
 }
 
 func (r *Router) newStatus(now time.Time, v *ctrl.View) status.Status {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -304,3 +304,13 @@
 	}
 	return sealer, nil
 }
+
+// Caller gives the address on which callers are served, as host:port.
+func (r *Router) Caller() string {
+	return r.caller.Addr().String()
+}
+
+// Self describes this router as its peers see it.
+func (r *Router) Self() fleet.Router {
+	return r.self
+}
