Give cold endpoints a small share of the work, so that they warm up

Cause: engines that warm up by work never did beside warm ones, since the choice put two seconds on every cold one: in a site of 9 cold engines five were still cold after 40 s. Ruled out: stewards (permits were granted) and phases (reports were fresh). Change: one request in 16 goes to a cold endpoint; where no slot is left a warm one serves at once; urgent requests and retries are spared.

--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -15,6 +15,7 @@
 	nearScore  = 1.3                  // scores up to this multiple of the best are as good
 	nearMargin = 5 * time.Millisecond // and up to this much more
 	fullPause  = 250 * time.Millisecond
+	warmEvery  = 16 // of the requests, one goes to a cold endpoint to warm it up
 )
 
 type candidate struct {
@@ -28,6 +29,7 @@
 // router's own tables; the same inputs give the same choice.
 func Choose(now time.Time, s *fleet.Snapshot, r Request, t *Table, p *Prefixes) Choice {
 	var best [fewest]candidate
+	var coldest candidate // the best of the cold ones
 	n, full := 0, false
 	if allowed(s, r) {
 		endpoints := t.lookup(s).endpoints(r)
@@ -40,11 +42,14 @@
 				full = full || reason.Temporary()
 				continue
 			}
+			if c.cold && (coldest.endpoint == nil || c.score < coldest.score) {
+				coldest = c
+			}
 			n = insert(&best, n, c)
 		}
 	}
 	if n > 0 {
-		return pick(best[:n], r.Seed).choice()
+		return warming(best[:n], coldest, r).choice()
 	}
 	if full {
 		return Wait{RetryAfter: fullPause}
@@ -52,6 +57,18 @@
 	return None{Reasons: Explain(now, s, r, t, p)}
 }
 
+// warming picks a candidate, now and then a cold one even beside warm ones, as
+// an endpoint that gets no work never warms up. A request that must run alone
+// or be answered first is spared.
+func warming(best []candidate, coldest candidate, r Request) candidate {
+	spared := r.Alone || r.Priority >= fleet.PriorityUrgent || len(r.Exclude) > 0
+	turn := (r.Seed>>20)%warmEvery == 0
+	if coldest.endpoint != nil && !best[0].cold && turn && !spared {
+		return coldest
+	}
+	return pick(best, r.Seed)
+}
+
 // Explain says for each endpoint of the request's release or service whether
 // it suits the request and why not, sorted by endpoint id.
 func Explain(now time.Time, s *fleet.Snapshot, r Request, t *Table, p *Prefixes) []Verdict {
--- a/internal/serve/place.go
+++ b/internal/serve/place.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"go.opentelemetry.io/otel/attribute"
 
+	"github.com/marigoldscale/marigoldscale/internal/fleet"
 	"github.com/marigoldscale/marigoldscale/internal/flow"
 	"github.com/marigoldscale/marigoldscale/internal/poison"
 	"github.com/marigoldscale/marigoldscale/internal/route"
@@ -70,17 +72,7 @@
 	if r.request.Service == "" && !r.view.Allowed(a.Release) {
 		return []flow.Event{flow.Barren{Withdrawn: true}}
 	}
-	choice := route.Choose(now, r.view.Snapshot, route.Request{
-		Release:  a.Release,
-		Service:  r.request.Service,
-		Seed:     xxhash.Sum64String(string(a.Attempt)),
-		Prompt:   r.request.Tokens,
-		Blocks:   r.blocks,
-		Exclude:  a.Exclude,
-		Alone:    a.Alone,
-		Priority: r.request.Team.Priority,
-	}, r.server.Table, r.server.Prefixes)
-	switch c := choice.(type) {
+	switch c := r.choose(now, a).(type) {
 	case route.Send:
 		return r.found(ctx, a, flow.Placed{Endpoint: c.Endpoint, Expected: c.Expected})
 	case route.NeedPermit:
@@ -96,6 +88,19 @@
 	}
 }
 
+func (r *run) choose(now time.Time, a flow.Place) route.Choice {
+	return route.Choose(now, r.view.Snapshot, route.Request{
+		Release:  a.Release,
+		Service:  r.request.Service,
+		Seed:     xxhash.Sum64String(string(a.Attempt)),
+		Prompt:   r.request.Tokens,
+		Blocks:   r.blocks,
+		Exclude:  a.Exclude,
+		Alone:    a.Alone,
+		Priority: r.request.Team.Priority,
+	}, r.server.Table, r.server.Prefixes)
+}
+
 // found takes a warm endpoint; a hedge needs the home's consent as well.
 func (r *run) found(ctx context.Context, a flow.Place, placed flow.Placed) []flow.Event {
 	if !a.Hedge {
@@ -110,25 +115,40 @@
 	return nil
 }
 
-// permit asks the steward of the endpoint's zone for a slot.
+// permit asks the steward of the endpoint's zone for a slot. If there is none,
+// a warm endpoint serves at once where one is left.
 func (r *run) permit(ctx context.Context, a flow.Place, c route.NeedPermit) {
+	exclude := append(slices.Clone(a.Exclude), c.Endpoint.Spec.ID)
+	instead := a
+	instead.Exclude = exclude
+	other, warm := r.choose(r.server.Now(), instead).(route.Send)
 	r.ask(func() flow.Event {
-		ctx, span := r.server.Tracer.Start(ctx, "permit", attribute.String("endpoint", string(c.Endpoint.Spec.ID)))
-		defer span.End()
-		ctx, cancel := context.WithTimeout(ctx, permitTimeout)
-		defer cancel()
-		err := r.server.Permits.Ask(ctx, c.Endpoint, a.Attempt)
-		if err == nil {
+		after, ok := r.askPermit(ctx, c.Endpoint, a.Attempt)
+		switch {
+		case ok:
 			return flow.Placed{Endpoint: c.Endpoint, Cold: true}
+		case warm:
+			return flow.Placed{Endpoint: other.Endpoint, Expected: other.Expected}
+		default:
+			return flow.Full{After: after}
 		}
-		var denied *Denied
-		if errors.As(err, &denied) {
-			return flow.Full{After: max(denied.After, permitPause)}
-		}
-		return flow.Full{After: permitPause}
 	})
 }
 
+// askPermit asks for a slot, and else tells when to ask again.
+func (r *run) askPermit(ctx context.Context, endpoint *fleet.Endpoint, attempt ident.AttemptID) (time.Duration, bool) {
+	ctx, span := r.server.Tracer.Start(ctx, "permit", attribute.String("endpoint", string(endpoint.Spec.ID)))
+	defer span.End()
+	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	defer cancel()
+	err := r.server.Permits.Ask(ctx, endpoint, attempt)
+	var denied *Denied
+	if errors.As(err, &denied) {
+		return max(denied.After, permitPause), false
+	}
+	return permitPause, err == nil
+}
+
 func (r *run) forgo(a flow.Forgo) {
 	r.server.Permits.Release(a.Endpoint, a.Attempt)
 }
