--- a/internal/load/answer.go
+++ b/internal/load/answer.go
@@ -104,7 +104,7 @@
 	for events.Next() {
 		data := bytes.TrimSpace(events.Event().Data)
 		if string(data) == "[DONE]" && finished {
-			return nil
+			return drain(response.Body)
 		}
 		var f frame
 		if err := json.Unmarshal(data, &f); err != nil {
@@ -124,6 +124,14 @@
 	return fmt.Errorf("answer to %q ended early", a.Arrival.Request)
 }
 
+// drain reads what follows the end mark, without which there are no trailers.
+func drain(body io.Reader) error {
+	if _, err := io.Copy(io.Discard, io.LimitReader(body, maxErrorBody)); err != nil {
+		return fmt.Errorf("reading end of answer: %w", err)
+	}
+	return nil
+}
+
 func readRefusal(response *http.Response) (Outcome, error) {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxErrorBody))
 	if err != nil {
--- a/internal/load/run_test.go
+++ b/internal/load/run_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/marigoldscale/marigoldscale/internal/load"
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
 )
 
 func plan(targets ...string) load.Plan {
@@ -134,6 +135,21 @@
 		Entry("no JSON", 500, `oops`, load.OutcomeFailed),
 	)
 
+	It("reads a cost that follows the answer", func() {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Trailer", "X-Cost-Micros")
+			_, _ = w.Write([]byte(whole))
+			w.(http.Flusher).Flush()
+			w.Header().Set("X-Cost-Micros", "12")
+		}))
+		DeferCleanup(server.Close)
+		arrival, ok := load.NewSchedule(plan(server.URL)).Next()
+		Expect(ok).To(BeTrue())
+		answer := load.Send(context.Background(), http.DefaultClient, arrival)
+		Expect(answer.Outcome).To(Equal(load.OutcomeWhole), "%v", answer.Err)
+		Expect(answer.Cost).To(Equal(ident.Micros(12)))
+	})
+
 	DescribeTable("refuses a plan that cannot be run", func(change func(*load.Plan), message string) {
 		p := plan("http://127.0.0.1:1")
 		change(&p)
