--- a/internal/cmd/admin.go
+++ b/internal/cmd/admin.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"sort"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -17,13 +18,14 @@
 )
 
 const (
-	adminTimeout = 2 * time.Second // of one call
+	askTimeout   = 2 * time.Second // of a call for status
+	orderTimeout = 8 * time.Second // of other calls, some of which wait for all routers
 	maxReply     = 64 << 20        // bytes
 )
 
 // ask makes one call of a router's admin API.
-func (r *Run) ask(ctx context.Context, method, url string, body, reply any) error {
-	ctx, cancel := context.WithTimeout(ctx, adminTimeout)
+func (r *Run) ask(ctx context.Context, timeout time.Duration, method, url string, body, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	text, err := json.Marshal(body)
 	if err != nil {
@@ -59,7 +61,7 @@
 	}
 	err := fmt.Errorf("%s answers %d: %s", url, code, f.Error)
 	if code >= http.StatusInternalServerError {
-		return &reachError{err: err}
+		return &reachError{err: err, alive: true}
 	}
 	return err
 }
@@ -71,7 +73,7 @@
 	}
 	var last error
 	for _, admin := range r.settings.Admin {
-		last = r.ask(r.ctx, method, admin+path, body, reply)
+		last = r.ask(r.ctx, orderTimeout, method, admin+path, body, reply)
 		var reach *reachError
 		if !errors.As(last, &reach) {
 			return last
@@ -87,66 +89,115 @@
 	return nil
 }
 
+// view is what one named router answered.
+type view struct {
+	admin  string // URL
+	status status.Status
+	err    error
+}
+
 // views asks every named router for its status, all at once. It fails only if
 // none answers.
-func (r *Run) views(ctx context.Context) ([]status.Status, error) {
-	type answer struct {
-		view status.Status
-		err  error
-	}
-	answers := make(chan answer, len(r.settings.Admin))
-	for _, admin := range r.settings.Admin {
-		go func() {
-			var a answer
-			a.err = r.ask(ctx, http.MethodGet, admin+"/v1/status", nil, &a.view)
-			answers <- a
-		}()
-	}
-	var views []status.Status
+func (r *Run) views(ctx context.Context) ([]view, error) {
+	answers := make([]view, len(r.settings.Admin))
+	var group sync.WaitGroup
+	for i, admin := range r.settings.Admin {
+		group.Go(func() {
+			answers[i].admin = admin
+			answers[i].err = r.ask(ctx, askTimeout, http.MethodGet, admin+"/v1/status", nil, &answers[i].status)
+		})
+	}
+	group.Wait()
 	var last error
-	for range r.settings.Admin {
-		a := <-answers
-		if a.err != nil {
-			last = a.err
-			continue
+	for _, a := range answers {
+		if a.err == nil {
+			return answers, nil
 		}
-		views = append(views, a.view)
-	}
-	if len(views) == 0 {
-		return nil, last
+		last = a.err
 	}
-	sort.Slice(views, func(i, j int) bool { return views[i].Self < views[j].Self })
-	return views, nil
+	return nil, last
 }
 
-// routers gives all live routers that the named ones know.
+// routers gives the routers that can have a configuration in force. A named
+// router that answers, but has no configuration yet, counts as one of
+// generation 0. A router that nobody has heard for long is gone or has stopped
+// serving, and is left out.
 func (r *Run) routers(ctx context.Context) ([]status.Router, error) {
 	views, err := r.views(ctx)
 	if err != nil {
 		return nil, err
 	}
-	return merge(views), nil
+	var live []status.Router
+	for _, s := range merge(views) {
+		if !s.lost() {
+			live = append(live, s.router)
+		}
+	}
+	return live, nil
+}
+
+// maxStale is the largest times.stale that a router's settings accept.
+const maxStale = time.Minute
+
+// sighting is the best that the views know of one router.
+type sighting struct {
+	router status.Router
+	age    time.Duration // since it was last heard
+	stale  time.Duration // after which it stops serving when cut off
+}
+
+// lost tells whether a router has been silent for so long that, if it lives, it
+// has stopped serving; twice the time allows for clocks of unlike speed.
+func (s sighting) lost() bool {
+	return s.age > 2*s.stale
 }
 
 // merge joins views: a router's own entry goes before what others last heard of
-// it, and among the others the newest heartbeat counts.
-func merge(views []status.Status) []status.Router {
-	known := map[ident.RouterID]status.Router{}
-	own := map[ident.RouterID]bool{}
+// it, and among the others the latest counts.
+func merge(views []view) []sighting {
+	known := map[ident.RouterID]sighting{}
 	for _, v := range views {
-		for _, router := range v.Routers {
-			old, seen := known[router.ID]
-			self := router.ID == v.Self
-			if self || !seen || !own[router.ID] && router.Seen.After(old.Seen) {
-				known[router.ID] = router
-				own[router.ID] = own[router.ID] || self
+		var reach *reachError
+		if errors.As(v.err, &reach) && reach.alive {
+			id := ident.RouterID(v.admin)
+			known[id] = sighting{router: status.Router{ID: id, Admin: v.admin}, age: -1, stale: maxStale}
+		}
+		for _, router := range v.status.Routers {
+			s := see(v.status, router)
+			if old, seen := known[router.ID]; !seen || s.age < old.age {
+				known[router.ID] = s
 			}
 		}
 	}
-	all := make([]status.Router, 0, len(known))
-	for _, router := range known {
-		all = append(all, router)
+	all := make([]sighting, 0, len(known))
+	for _, s := range known {
+		all = append(all, s)
 	}
-	sort.Slice(all, func(i, j int) bool { return all[i].ID < all[j].ID })
+	sort.Slice(all, func(i, j int) bool { return all[i].router.ID < all[j].router.ID })
 	return all
 }
+
+// see gives a view's knowledge of one router; of itself it is exact.
+func see(s status.Status, router status.Router) sighting {
+	stale := s.Stale
+	if stale <= 0 {
+		stale = maxStale
+	}
+	age := max(s.At.Sub(router.Seen), 0)
+	if router.ID == s.Self {
+		age = -1
+	}
+	return sighting{router: router, age: age, stale: stale}
+}
+
+// silent names the routers that did not answer at all.
+func silent(views []view) []string {
+	var names []string
+	for _, v := range views {
+		var reach *reachError
+		if errors.As(v.err, &reach) && !reach.alive {
+			names = append(names, v.admin)
+		}
+	}
+	return names
+}
--- a/internal/ctrl/control.go
+++ b/internal/ctrl/control.go
@@ -30,8 +30,11 @@
 
 	routers   map[ident.RouterID]*router
 	listed    map[ident.RouterID]plat.Instance
+	members   *roster // of the newest time that was asked about
+	places    places
 	endpoints map[ident.EndpointID]*endpoint
-	gone      map[ident.EndpointID]bool // leaving, by the list of instances
+	byZone    map[ident.ZoneID][]*endpoint
+	zones     []ident.ZoneID // that have endpoints, sorted
 
 	withdrawn  map[ident.Release]fleet.Withdrawal
 	stored     map[ident.Release]bool // withdrawals that the platform holds
@@ -48,6 +51,7 @@
 	lastRead     time.Time
 	lastList     time.Time
 	lastAnnounce time.Time
+	lastTrim     time.Time
 	reading      bool
 	stopping     bool
 	changed      bool // a new view is due
@@ -71,12 +75,11 @@
 		routers:   map[ident.RouterID]*router{},
 		listed:    map[ident.RouterID]plat.Instance{},
 		endpoints: map[ident.EndpointID]*endpoint{},
-		gone:      map[ident.EndpointID]bool{},
 		withdrawn: map[ident.Release]fleet.Withdrawal{},
 		stored:    map[ident.Release]bool{},
 		rollouts:  map[ident.ModelID]Rollout{},
 		writing:   map[plat.Key]bool{},
-		evidence:  roll.New(),
+		evidence:  roll.New(uint64(started.UnixNano())),
 		estimates: casc.New(),
 		deaths:    deaths,
 		home:      poison.NewHome(deaths, settings.Claims),
@@ -117,7 +120,7 @@
 	case Rated:
 		c.rated(now, e)
 	case Exposed:
-		c.exposed(e)
+		c.exposed(now, e)
 	case Withdraw:
 		return c.withdraw(now, e.Withdrawal)
 	case Wrote:
--- a/internal/publsh/machine.go
+++ b/internal/publsh/machine.go
@@ -36,11 +36,13 @@
 	tried   ident.Generation
 	fails   int
 	moves   int
+	since   time.Time // of the first of the failures in a row; zero if there is none
 }
 
 const (
-	maxFails  = 12  // failed calls of one publication
-	maxMoves  = 200 // lost races of one publication
+	maxFails  = 12              // failed calls of one publication
+	maxMoves  = 200             // lost races of one publication
+	patience  = 5 * time.Second // with a platform that does not answer
 	pauseBase = 50 * time.Millisecond
 	pauseMax  = 2 * time.Second
 )
@@ -67,17 +69,20 @@
 		return m.again()
 	case HeadUnknown:
 		m.unknown = true
-		return m.retry(plat.ErrUncertain)
+		return m.retry(now, plat.ErrUncertain)
 	case Failed:
-		return m.retry(e.Err)
+		return m.retry(now, e.Err)
 	}
 	return Fail{Err: fmt.Errorf("event %T is not known", event)}
 }
 
 // retry starts again from the head, since whatever else is known may be old.
-func (m *Machine) retry(err error) Action {
+func (m *Machine) retry(now time.Time, err error) Action {
 	m.fails++
-	if m.fails <= maxFails {
+	if m.since.IsZero() {
+		m.since = now
+	}
+	if m.fails <= maxFails && now.Sub(m.since) < patience {
 		return ReadHead{After: m.pause()}
 	}
 	if m.unknown {
@@ -106,12 +111,13 @@
 }
 
 func (m *Machine) readHead(now time.Time, e HeadRead) Action {
+	m.since = time.Time{}
 	if e.Version != 0 && e.Head.Nonce == m.request.Nonce {
 		m.head = e.Head
 		return m.finish(e.Head.Generation)
 	}
-	if e.Version < m.version {
-		return m.retry(fmt.Errorf("read of the head gave version %d after %d", e.Version, m.version))
+	if e.Head.Generation == m.tried+1 {
+		m.unknown = false // the one change since the lost answer is another's
 	}
 	m.head = e.Head
 	m.version = e.Version
@@ -146,7 +152,7 @@
 		m.texts[digest] = text
 	}
 	if len(m.missing()) > 0 {
-		return m.retry(plat.ErrAbsent)
+		return m.retry(now, plat.ErrAbsent)
 	}
 	return m.plan(now)
 }
@@ -186,7 +192,10 @@
 }
 
 func (m *Machine) check(target files) config.Problems {
-	_, problems := config.Load(m.texted(target))
+	c, problems := config.Load(m.texted(target))
+	if edit, ok := m.request.Change.(Edit); ok && c != nil {
+		problems = append(problems, config.Undeclared(c, edit.Settings)...)
+	}
 	for _, f := range target.list() {
 		if size := len(m.texts[f.Digest]); size > plat.MaxValue {
 			what := fmt.Sprintf("file has %d bytes, more than the platform holds", size)
@@ -227,7 +236,7 @@
 }
 
 func (m *Machine) finish(generation ident.Generation) Action {
-	result := Result{Generation: generation, Changed: m.changed, Kept: m.kept()}
+	result := Result{Generation: generation, Changed: append([]string{}, m.changed...), Kept: m.kept()}
 	if m.target != nil {
 		result.Digest = m.target.digest()
 	} else {
@@ -238,17 +247,17 @@
 
 // kept gives the paths in force that a tree lacks, but for the commands' own.
 func (m *Machine) kept() []string {
+	kept := []string{}
 	tree, ok := m.request.Change.(Tree)
 	if !ok {
-		return nil
+		return kept
 	}
 	mine := map[string]bool{}
 	for _, f := range tree.Files {
 		mine[f.Path] = true
 	}
-	var kept []string
 	for _, f := range m.target.list() {
-		if !mine[f.Path] && !strings.HasPrefix(f.Path, config.OverlayPrefix) {
+		if !mine[f.Path] && strings.HasPrefix(f.Path, tree.Under) && !strings.HasPrefix(f.Path, config.OverlayPrefix) {
 			kept = append(kept, f.Path)
 		}
 	}
--- a/internal/router/admin.go
+++ b/internal/router/admin.go
@@ -70,6 +70,7 @@
 		Self:      v.Self.ID,
 		At:        now,
 		Digest:    v.Config.Digest,
+		Stale:     r.settings.Times.Stale,
 		Routers:   v.Fleet,
 		Endpoints: []status.Endpoint{},
 		Zones:     []status.Zone{},
@@ -132,7 +133,7 @@
 			continue
 		}
 		s.Endpoints++
-		s.Inflight += r.table.Load(now, e.Spec.ID).Running
+		s.Inflight += r.table.Load(now, e.Spec.ID, e.Reported).Running
 	}
 	return s
 }
