--- a/internal/admit/drain.go
+++ b/internal/admit/drain.go
@@ -66,8 +66,7 @@
 		}
 	}
 	share := m.weight / (m.weight + others)
-	service := g.service[false]
-	return time.Duration((cost + 1) / (g.slots * share) * float64(service))
+	return time.Duration((cost/share + 1) / g.slots * float64(g.service[false].mean))
 }
 
 // expire refuses a team's waiting tickets that cannot be answered in time.
--- a/internal/admit/gate.go
+++ b/internal/admit/gate.go
@@ -13,7 +13,6 @@
 	maxQueued     = 4096                   // tickets over all teams
 	maxTeamQueued = 1024                   // tickets of one team
 	firstService  = time.Second            // assumed before anything has ended
-	serviceGain   = 0.05                   // weight of a new service time in the mean
 	quickShare    = 0.75                   // of the slots, in which quick tickets go first
 	minRetryAfter = 100 * time.Millisecond // shortest time to come back
 	maxRetryAfter = 30 * time.Second       // longest time to come back
@@ -28,7 +27,7 @@
 	quick   float64 // of used, by quick tickets
 	virtual float64 // virtual time: slots granted over the weights of those who wait
 	queued  int
-	service map[bool]time.Duration // mean service time, by Ticket.Quick
+	service map[bool]service // by Ticket.Quick
 	running map[TicketID]run
 	teams   map[ident.TeamID]*team
 }
@@ -41,7 +40,7 @@
 // New gives a gate without capacity; see SetCapacity.
 func New() *Gate {
 	return &Gate{
-		service: map[bool]time.Duration{false: firstService, true: firstService},
+		service: map[bool]service{false: {mean: firstService}, true: {mean: firstService}},
 		running: make(map[TicketID]run),
 		teams:   make(map[ident.TeamID]*team),
 	}
@@ -68,8 +67,9 @@
 		g.admit(now, m, t)
 		return Admit{Ticket: t.ID}, nil
 	}
-	wait := g.wait(m, m.ahead(t))
-	if g.late(now, wait, t) {
+	ahead := m.ahead(t)
+	wait := g.wait(m, ahead)
+	if g.late(now, wait, t) || ahead > 0 && g.crowded(now, wait, t) {
 		return g.refuse(m, t, ReasonDeadline), nil
 	}
 	if m.len() >= maxTeamQueued && !m.evicts(t) {
@@ -91,11 +91,9 @@
 	delete(g.running, id)
 	g.occupy(r.ticket, -1)
 	took := now.Sub(r.started)
-	mean := g.service[r.ticket.Quick]
-	if m := g.teams[r.ticket.Team]; m != nil && mean > 0 {
-		m.settle(r.ticket.Cost * (took.Seconds()/mean.Seconds() - 1))
-	}
-	g.service[r.ticket.Quick] = mean + time.Duration(float64(took-mean)*serviceGain)
+	estimate := g.service[r.ticket.Quick]
+	g.teams[r.ticket.Team].settle(r.ticket.Cost * (took.Seconds()/estimate.mean.Seconds() - 1))
+	g.service[r.ticket.Quick] = estimate.add(took)
 	return g.drain(now, nil)
 }
 
@@ -119,8 +117,17 @@
 	return g.used+t.Cost <= g.slots
 }
 
+// late tells whether a ticket that starts after wait would miss its deadline,
+// if it takes the mean time.
 func (g *Gate) late(now time.Time, wait time.Duration, t Ticket) bool {
-	return now.Add(wait + g.service[t.Quick]).After(t.Deadline)
+	return now.Add(wait + g.service[t.Quick].mean).After(t.Deadline)
+}
+
+// crowded tells whether a team's queue is too long for a ticket to be answered
+// in time nearly for certain. The first ticket of a team is let off: its team
+// asks for no more than its share.
+func (g *Gate) crowded(now time.Time, wait time.Duration, t Ticket) bool {
+	return now.Add(wait + g.service[t.Quick].padded()).After(t.Deadline)
 }
 
 func (g *Gate) occupy(t Ticket, sign float64) {
