Bound what a heartbeat carries of counters and ratings

Cause: with all of its changed cells in every heartbeat, a router of 8 at a share of 100% would send some 22 cells a second to each peer, over the target's 10 KB a second (worked out, not measured). Batch gives a bounded number of a router's own entries, those of all teams first and the others in an order drawn anew each time; since counters are states, what is left out is only late. In larger fleets evidence goes to three collectors a model. Ruled out: passing on entries heard from others (8 times the bytes for all pairs).

Seen to fail first, by breaking: the mark of a cut batch, the place of all teams' cells, the seed's draw, leaving collectors, collectors' zones.

--- a/internal/casc/estimates.go
+++ b/internal/casc/estimates.go
@@ -1,9 +1,14 @@
 package casc
 
 import (
+	"cmp"
 	"math"
+	"slices"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/marigoldscale/marigoldscale/pkg/ident"
 )
 
@@ -123,6 +128,32 @@
 	return entries, e.mark
 }
 
+// Batch gives at most most of a source's own entries that changed after since,
+// in an order drawn by the seed, for a heartbeat of bounded size. If it gives
+// all, the mark moves on; what is left out now is drawn again next time.
+func (e *Estimates) Batch(self Source, since Mark, most int, seed uint64) ([]Entry, Mark) {
+	var entries []Entry
+	for _, c := range e.cells {
+		if r, ok := c.sources[self]; ok && r.mark > since {
+			entries = append(entries, r.entry)
+		}
+	}
+	if len(entries) <= most {
+		return entries, e.mark
+	}
+	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(a.Key.order(seed), b.Key.order(seed)) })
+	return entries[:most], since
+}
+
+// order gives a key's place in a batch.
+func (k Key) order(seed uint64) uint64 {
+	text := string(k.Class) + "/" + string(k.Model)
+	if k.Escalated {
+		text += "/escalated"
+	}
+	return xxhash.Sum64String(text + strconv.FormatUint(seed, 16))
+}
+
 // Trim forgets entries that have decayed away, and with them routers that are
 // gone.
 func (e *Estimates) Trim(now time.Time) {
--- a/internal/casc/estimates_test.go
+++ b/internal/casc/estimates_test.go
@@ -56,6 +56,24 @@
 		})
 	})
 
+	It("reach a peer by batches of bounded size", func() {
+		e, peer, self := casc.New(), casc.New(), casc.Source{Router: "r"}
+		for i := range 20 {
+			e.Observe(start, self, casc.Key{Class: ident.ClassID(fmt.Sprint(i)), Model: "small"}, 0.5)
+		}
+		for round := range uint64(60) {
+			entries, mark := e.Batch(self, 0, 3, round)
+			Expect(entries).To(HaveLen(3))
+			Expect(mark).To(BeZero())
+			peer.Merge(entries)
+		}
+		got, _ := peer.Delta(0)
+		Expect(got).To(HaveLen(20))
+		_, mark := e.Batch(self, 0, 20, 0)
+		entries, _ := e.Batch(self, mark, 20, 0)
+		Expect(entries).To(BeEmpty())
+	})
+
 	It("forget within hours, and hold a bounded number of keys", func() {
 		e, self := casc.New(), casc.Source{Router: "r"}
 		const classes = 10_000
--- a/internal/gossip/targets_test.go
+++ b/internal/gossip/targets_test.go
@@ -1,12 +1,15 @@
 package gossip_test
 
 import (
+	"fmt"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/marigoldscale/marigoldscale/internal/fleet"
 	"github.com/marigoldscale/marigoldscale/internal/gossip"
 	"github.com/marigoldscale/marigoldscale/pkg/ident"
 )
@@ -35,6 +38,32 @@
 		})
 	})
 
+	It("gather evidence at three routers of three zones, which change only as one goes", func() {
+		list := routers(60)
+		for i := range list {
+			list[i].Zone = ident.ZoneID(fmt.Sprint("z", i%4))
+		}
+		for subject := range 50 {
+			name := fmt.Sprint("m", subject)
+			before := gossip.Collectors(name, list)
+			Expect(before).To(HaveLen(3))
+			zones := map[ident.ZoneID]bool{}
+			for i := range list {
+				if slices.Contains(before, list[i].ID) {
+					zones[list[i].Zone] = true
+				}
+			}
+			Expect(zones).To(HaveLen(3))
+			first := slices.IndexFunc(list, func(r fleet.Router) bool { return r.ID == before[2] })
+			list[first].Leaving = true
+			after := gossip.Collectors(name, list)
+			Expect(after[:2]).To(Equal(before[:2]))
+			Expect(after[2]).NotTo(Equal(before[2]))
+			list[first].Leaving = false
+		}
+		Expect(gossip.Collectors("m", list[:5])).To(HaveLen(5))
+	})
+
 	It("burden no router much more than another", func() {
 		const n, rounds = 360, 100
 		list := routers(n)
--- a/internal/roll/evidence.go
+++ b/internal/roll/evidence.go
@@ -1,8 +1,12 @@
 package roll
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/marigoldscale/marigoldscale/internal/fleet"
 	"github.com/marigoldscale/marigoldscale/pkg/ident"
 )
@@ -192,6 +196,50 @@
 	return entries, e.mark
 }
 
+// Batch gives at most most of a source's own entries that changed after since,
+// for a heartbeat of bounded size: those of all teams first, the others in an
+// order drawn by the seed. If it gives all, the mark moves on; what is left out
+// now is drawn again next time, and a counter's later value replaces it.
+func (e *Evidence) Batch(self Source, since Mark, most int, seed uint64) ([]Entry, Mark) {
+	var keys []Key
+	for k, c := range e.cells {
+		if r, ok := c.sources[self]; ok && r.mark > since {
+			keys = append(keys, k)
+		}
+	}
+	slices.SortFunc(keys, func(a, b Key) int {
+		return cmp.Or(cmp.Compare(a.order(seed), b.order(seed)), a.compare(b))
+	})
+	mark := e.mark
+	if len(keys) > most {
+		keys, mark = keys[:most], since
+	}
+	entries := make([]Entry, len(keys))
+	for i, k := range keys {
+		entries[i] = Entry{Key: k, Source: self, Counts: e.cells[k].sources[self].counters.Sparse()}
+	}
+	return entries, mark
+}
+
+// order gives a key's place in a batch.
+func (k Key) order(seed uint64) uint64 {
+	if k.Team == "" {
+		return 0
+	}
+	place := uint64(k.Stratum.Step)<<32 | uint64(k.Stratum.Window)
+	return 1 + mix(seed^xxhash.Sum64String(string(k.Team))^mix(place))>>1
+}
+
+// compare orders keys of the same place.
+func (k Key) compare(other Key) int {
+	return cmp.Or(
+		cmp.Compare(k.Release.String(), other.Release.String()),
+		cmp.Compare(k.Team, other.Team),
+		cmp.Compare(other.Stratum.Step, k.Stratum.Step),
+		cmp.Compare(other.Stratum.Window, k.Stratum.Window),
+	)
+}
+
 // Total gives the fleet's counters of one cell.
 func (e *Evidence) Total(key Key) Counters {
 	if c, ok := e.cells[key]; ok {
--- a/internal/roll/evidence_test.go
+++ b/internal/roll/evidence_test.go
@@ -100,6 +100,31 @@
 		Expect(entries).To(HaveLen(4), "all teams and team b, in the window and the whole step")
 	})
 
+	It("reaches a peer by batches of bounded size, all teams' cells in each", func() {
+		e, peer, self := roll.New(1), roll.New(2), roll.Source{Router: "a"}
+		var mark roll.Mark
+		for round := range uint64(200) {
+			for i := range 20 {
+				e.Expose(self, view, ident.TeamID(fmt.Sprint("team", i)))
+			}
+			var entries []roll.Entry
+			entries, mark = e.Batch(self, mark, 5, round)
+			Expect(entries).To(HaveLen(5))
+			peer.Merge(entries)
+			Expect(peer.Total(whole)).To(Equal(e.Total(whole)))
+		}
+		entries, mark := e.Batch(self, mark, 100, 0)
+		Expect(entries).To(HaveLen(42), "20 teams and all of them, in the window and the whole step")
+		entries, _ = e.Batch(self, mark, 100, 0)
+		Expect(entries).To(BeEmpty())
+		for i := range 20 {
+			key := whole
+			key.Team = ident.TeamID(fmt.Sprint("team", i))
+			total := peer.Total(key)
+			Expect(total[roll.CountSessions]).To(BeNumerically(">", 100), "team %d", i)
+		}
+	})
+
 	It("stays bounded as routers come and go, and loses no count", func() {
 		e, c := roll.New(1), config(fleet.Step{Share: 0.1})
 		const lives = 500
