--- /dev/null
+++ b/internal/faults/page.go
@@ -0,0 +1,157 @@
+package faults
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+const (
+	unproved = "unproved"
+	preface  = `# The fault matrix
+
+Written by ` + "`scripts/faults`" + ` from the labels of the tests; CI fails if it is not
+current. A number names a test of the list below that causes the fault at the
+step and checks what must hold; a letter says why the fault cannot occur there;
+` + "`unproved`" + ` says that no test does so yet.
+`
+)
+
+// Page gives the matrix as Markdown. The same proofs give the same text.
+func Page(proofs []Proof) string {
+	proofs = numbered(proofs)
+	var b strings.Builder
+	b.WriteString(preface)
+	fmt.Fprintf(&b, "\n%s\n", summary(proofs))
+	writeMatrix(&b, "A request", proofs, false)
+	writeMatrix(&b, "A change", proofs, true)
+	writePromises(&b, proofs)
+	writeReasons(&b)
+	writeTests(&b, proofs)
+	return b.String()
+}
+
+func summary(proofs []Proof) string {
+	var proved, never, open int
+	for _, f := range faultRows {
+		for _, s := range stepColumns {
+			switch {
+			case len(provers(proofs, f.id, s.id)) > 0:
+				proved++
+			case impossible(f.id, s.id) > 0:
+				never++
+			default:
+				open++
+			}
+		}
+	}
+	return fmt.Sprintf("Of %d cells, %d are proved, %d cannot occur and %d are unproved.",
+		proved+never+open, proved, never, open)
+}
+
+func writeMatrix(b *strings.Builder, title string, proofs []Proof, change bool) {
+	fmt.Fprintf(b, "\n## %s\n\n| fault |", title)
+	rule := "|---|"
+	for _, s := range stepColumns {
+		if s.change == change {
+			fmt.Fprintf(b, " %s |", s.title)
+			rule += "---|"
+		}
+	}
+	fmt.Fprintf(b, "\n%s\n", rule)
+	for _, f := range faultRows {
+		fmt.Fprintf(b, "| %s |", f.title)
+		for _, s := range stepColumns {
+			if s.change == change {
+				fmt.Fprintf(b, " %s |", cell(proofs, f.id, s.id))
+			}
+		}
+		b.WriteString("\n")
+	}
+}
+
+func cell(proofs []Proof, f Fault, s Step) string {
+	if tests := provers(proofs, f, s); len(tests) > 0 {
+		return strings.Join(tests, ", ")
+	}
+	if n := impossible(f, s); n > 0 {
+		return letter(n)
+	}
+	return unproved
+}
+
+// provers gives the numbers of the tests that prove a cell.
+func provers(proofs []Proof, f Fault, s Step) []string {
+	var numbers []string
+	for _, p := range proofs {
+		if contains(p.Faults, f) && contains(p.Steps, s) {
+			numbers = appendNew(numbers, strconv.Itoa(p.number))
+		}
+	}
+	return numbers
+}
+
+// letter names the n-th reason, from 1.
+func letter(n int) string {
+	return string(rune('a' + n - 1))
+}
+
+func writePromises(b *strings.Builder, proofs []Proof) {
+	b.WriteString("\n## What must always hold\n\n| promise | tests |\n|---|---|\n")
+	for _, p := range promiseRows {
+		tests := unproved
+		var numbers []string
+		for _, proof := range proofs {
+			if contains(proof.Holds, p.id) {
+				numbers = appendNew(numbers, strconv.Itoa(proof.number))
+			}
+		}
+		if len(numbers) > 0 {
+			tests = strings.Join(numbers, ", ")
+		}
+		fmt.Fprintf(b, "| %s | %s |\n", p.title, tests)
+	}
+}
+
+func writeReasons(b *strings.Builder) {
+	b.WriteString("\n## Why a fault cannot occur\n\n")
+	for i, r := range reasons {
+		fmt.Fprintf(b, "- %s: %s\n", letter(i+1), r.text)
+	}
+}
+
+func writeTests(b *strings.Builder, proofs []Proof) {
+	b.WriteString("\n## The tests\n\n")
+	last := 0
+	for _, p := range proofs {
+		if p.number > last {
+			fmt.Fprintf(b, "%d. `internal/%s`: %s\n", p.number, p.Package, p.Name)
+		}
+		last = p.number
+	}
+}
+
+// numbered gives the proofs with the numbers of their tests; entries of one
+// test must stand together.
+func numbered(proofs []Proof) []Proof {
+	list := append([]Proof(nil), proofs...)
+	for i := range list {
+		list[i].number = 1
+		if i == 0 {
+			continue
+		}
+		before := list[i-1]
+		list[i].number = before.number
+		if before.Package != list[i].Package || before.Name != list[i].Name {
+			list[i].number++
+		}
+	}
+	return list
+}
+
+func appendNew(list []string, s string) []string {
+	if contains(list, s) {
+		return list
+	}
+	return append(list, s)
+}
