Stop serving on a configuration that is known to be old, or that none in reach confirms

Cause: a heartbeat that merely arrived counted as being in touch with the fleet. A router whose own calls get nowhere, but who hears its peers (a one-way link, and the platform cut off as well), went on serving an old configuration without end, though each heartbeat told it of a newer generation. So did two routers that reach only each other and hear a third. A thawed router took heartbeats that had waited in its buffers for news.

Now only a peer that answers counts as in reach, from the time at which the question was sent; and a router that knows of a newer generation for 3 s without getting it stops serving. Ruled out: refusing at once on a newer generation (a change would empty the balancer for the time of one fetch), and heeding the peers' word on whether they reach the platform (two routers that reach only each other would still go on).

--- a/internal/ctrl/beat.go
+++ b/internal/ctrl/beat.go
@@ -124,7 +124,7 @@
 	c.estimates.Merge(b.Estimates)
 	c.deaths.Merge(now, b.Deaths)
 	c.heedColds(now, b.Colds)
-	actions := c.hear(b.Router, b.Generation)
+	actions := c.hear(now, b.Router, b.Generation)
 	for _, w := range b.Withdrawals {
 		actions = append(actions, c.withdraw(now, w)...)
 	}
@@ -141,6 +141,7 @@
 	r.router = e.Router
 	r.sending = false
 	r.heard = now
+	r.answered = later(r.answered, e.Asked)
 	r.marks = e.Marks
 	r.told = e.Told
 	r.generation = max(r.generation, e.Generation)
@@ -148,7 +149,7 @@
 	if e.Generation == c.generation() && e.Generation > 0 && e.Age >= 0 {
 		c.confirm(r.confirmed)
 	}
-	return c.hear(e.Router, e.Generation)
+	return c.hear(now, e.Router, e.Generation)
 }
 
 func (c *Control) missed(id ident.RouterID) {
--- a/internal/ctrl/config.go
+++ b/internal/ctrl/config.go
@@ -41,6 +41,7 @@
 func (c *Control) adopt(head plat.Head, config *fleet.Config) []Action {
 	c.head = head
 	c.config = config
+	c.behind = time.Time{}
 	c.changed = true
 	c.syncEndpoints()
 	return c.urgent()
@@ -61,8 +62,14 @@
 }
 
 // hear fetches a configuration that a peer has and this router has not.
-func (c *Control) hear(from fleet.Router, generation ident.Generation) []Action {
-	if generation <= c.generation() || generation <= c.fetching {
+func (c *Control) hear(now time.Time, from fleet.Router, generation ident.Generation) []Action {
+	if generation <= c.generation() {
+		return nil
+	}
+	if c.behind.IsZero() {
+		c.behind = now
+	}
+	if generation <= c.fetching {
 		return nil
 	}
 	c.fetching = generation
--- a/internal/ctrl/control.go
+++ b/internal/ctrl/control.go
@@ -26,6 +26,7 @@
 	head      plat.Head
 	confirmed time.Time
 	fetching  ident.Generation // asked for, not yet here
+	behind    time.Time        // since when a newer one is known and not here
 	platform  reach
 
 	routers   map[ident.RouterID]*router
--- a/internal/ctrl/member.go
+++ b/internal/ctrl/member.go
@@ -27,6 +27,7 @@
 	generation ident.Generation
 	confirmed  time.Time // by this router's clock
 	heard      time.Time // last heartbeat from it or answer of it
+	answered   time.Time // when the newest heartbeat that it answered was sent
 	met        time.Time // when it was first listed or heard
 	marks      Marks     // that it has
 	sent       time.Time // last heartbeat to it
@@ -139,11 +140,12 @@
 	return true
 }
 
-// heard gives the newest time at which any peer was heard.
-func (c *Control) heard() time.Time {
+// answered gives the newest time from which any peer was in reach both ways. A
+// peer that is only heard cannot pass on what this router lacks.
+func (c *Control) answered() time.Time {
 	var newest time.Time
 	for _, r := range c.routers {
-		newest = later(newest, r.heard)
+		newest = later(newest, r.answered)
 	}
 	return newest
 }
--- a/internal/ctrl/view.go
+++ b/internal/ctrl/view.go
@@ -18,6 +18,10 @@
 // many times the interval between views, and short of every fleet-wide bound.
 const viewLife = 2 * time.Second
 
+// behindFor is how long a router that knows of a newer configuration than its
+// own may take to get it before it stops serving.
+const behindFor = 3 * time.Second
+
 // View is what the control thread publishes for the traffic threads. It is
 // immutable but for the quotas, which count down as sessions are assigned.
 type View struct {
@@ -188,13 +192,16 @@
 }
 
 // serving tells whether this router may take new requests: it has a
-// configuration that was confirmed as current, and is not cut off from
-// everyone who could tell of a newer one.
+// configuration that was confirmed as current, knows of no newer one that it
+// cannot get, and is not cut off from everyone who could tell of one.
 func (c *Control) serving(now time.Time) bool {
 	if c.config == nil || c.stopping || c.confirmed.IsZero() {
 		return false
 	}
-	return gossip.Fresh(now, c.confirmed, c.heard(), len(c.routers)) != gossip.StandingAlone
+	if !c.behind.IsZero() && now.Sub(c.behind) > behindFor {
+		return false
+	}
+	return gossip.Fresh(now, c.confirmed, c.answered(), len(c.routers)) != gossip.StandingAlone
 }
 
 // RouterIDs gives the live routers that are not leaving, this one included,
