Have the next router of a zone read the platform when the first one dies

Cause: the zone's reader was taken to be the first router ever heard, not the first that lives, so that after its death the others neither watched the platform nor read at the plain interval until it was forgotten, a minute later or never while the list still names it; they only read when stale.

Before: five seconds after the death no router of the zone is its reader; after: the next one is.

--- a/internal/ctrl/control.go
+++ b/internal/ctrl/control.go
@@ -153,7 +153,7 @@
 func (c *Control) ask(now time.Time) []Action {
 	var actions []Action
 	stale := now.Sub(c.confirmed) > c.settings.Stale
-	if !c.reading && now.Sub(c.lastRead) >= c.settings.Read && (c.relay() || stale) {
+	if !c.reading && now.Sub(c.lastRead) >= c.settings.Read && (c.relay(now) || stale) {
 		c.reading = true
 		c.lastRead = now
 		actions = append(actions, ReadPlatform{})
--- a/internal/ctrl/member.go
+++ b/internal/ctrl/member.go
@@ -131,9 +131,9 @@
 
 // relay tells whether this router reads the platform for its zone: it is the
 // first of the zone's live routers.
-func (c *Control) relay() bool {
+func (c *Control) relay(now time.Time) bool {
 	for _, r := range c.routers {
-		if r.router.Zone == c.self.Zone && r.router.ID < c.self.ID && !r.heard.IsZero() && !r.router.Leaving && r.platform {
+		if r.router.Zone == c.self.Zone && r.router.ID < c.self.ID && r.live(now) && !r.router.Leaving && r.platform {
 			return false
 		}
 	}
--- a/internal/ctrl/view.go
+++ b/internal/ctrl/view.go
@@ -95,7 +95,7 @@
 		Quotas:    map[ident.ModelID]*Quota{},
 		Stewards:  map[ident.ZoneID]ident.RouterID{},
 		Estimates: c.estimates.Clone(),
-		Relay:     c.relay(),
+		Relay:     c.relay(now),
 		Platform:  status.Platform{Reachable: c.platform.reachable, Since: c.platform.since},
 		spread:    map[ident.Release][]ident.RouterID{},
 		stored:    map[ident.Release]bool{},
