Read back what a router has written itself

Cause: a router that does not read for its zone never read again after an own write, as its peers kept it fresh. A withdrawal given to such a router was never reported as durable, so the operator's command waited in vain; a conflict left it with the old version of the object for good.

Ruled out: trusting the write's own answer, which may be lost or be overtaken by another's write.

--- a/internal/ctrl/control.go
+++ b/internal/ctrl/control.go
@@ -51,6 +51,7 @@
 	lastAnnounce time.Time
 	lastTrim     time.Time
 	reading      bool
+	reread       bool // the effect of an own write is not read yet
 	stopping     bool
 	changed      bool // a new view is due
 }
@@ -96,6 +97,7 @@
 		return c.read(now, e)
 	case ReadFailed:
 		c.reading = false
+		c.reread = true
 		c.reach(now, false)
 	case Changed:
 		c.lastRead = time.Time{}
@@ -149,12 +151,14 @@
 }
 
 // ask reads what is due from the platform. One router of each availability
-// zone reads for all; the others do so when they hear nothing new.
+// zone reads for all; the others do so when they hear nothing new, or have
+// written themselves.
 func (c *Control) ask(now time.Time) []Action {
 	var actions []Action
 	stale := now.Sub(c.confirmed) > c.settings.Stale
-	if !c.reading && now.Sub(c.lastRead) >= c.settings.Read && (c.relay(now) || stale) {
+	if !c.reading && now.Sub(c.lastRead) >= c.settings.Read && (c.relay(now) || stale || c.reread) {
 		c.reading = true
+		c.reread = false
 		c.lastRead = now
 		actions = append(actions, ReadPlatform{})
 	}
--- a/internal/ctrl/rollout.go
+++ b/internal/ctrl/rollout.go
@@ -131,5 +131,6 @@
 func (c *Control) wrote(e Wrote) []Action {
 	delete(c.writing, e.Key)
 	c.lastRead = time.Time{}
+	c.reread = true
 	return nil
 }
