Take no zone's stewardship up during a graceful shutdown

Cause: only the stewardships that a router had at the time of its stop learnt of it; one that came up later, as its endpoints became known or other routers died, was taken as usual, and the zone's cold slots then waited for its lease to lapse after the exit. Before: a router stopped at its start held zone a's lease 30 s later; after: nobody does.

--- a/internal/ctrl/steward.go
+++ b/internal/ctrl/steward.go
@@ -31,7 +31,7 @@
 	for _, zone := range c.zones() {
 		place := c.place(now, zone)
 		s, ok := c.stewards[zone]
-		if !ok && place >= stewardCandidates {
+		if !ok && (place >= stewardCandidates || c.stopping) {
 			continue
 		}
 		if !ok {
