Give a router no sessions of a roll-out before it knows who else has some

Cause: a new router that had heard nobody yet passed for the only one and took the whole session limit as its own share. Also removes a field that nothing used.

--- a/internal/ctrl/control.go
+++ b/internal/ctrl/control.go
@@ -32,7 +32,6 @@
 	routers   map[ident.RouterID]*router
 	listed    map[ident.RouterID]plat.Instance
 	endpoints map[ident.EndpointID]*endpoint
-	gone      map[ident.EndpointID]bool // leaving, by the list of instances
 
 	withdrawn  map[ident.Release]fleet.Withdrawal
 	stored     map[ident.Release]bool // withdrawals that the platform holds
@@ -74,7 +73,6 @@
 		routers:   map[ident.RouterID]*router{},
 		listed:    map[ident.RouterID]plat.Instance{},
 		endpoints: map[ident.EndpointID]*endpoint{},
-		gone:      map[ident.EndpointID]bool{},
 		withdrawn: map[ident.Release]fleet.Withdrawal{},
 		stored:    map[ident.Release]bool{},
 		rollouts:  map[ident.ModelID]Rollout{},
--- a/internal/ctrl/rollout.go
+++ b/internal/ctrl/rollout.go
@@ -122,8 +122,15 @@
 	}
 }
 
+// quota gives this router's share of a step's session limit; until it has heard
+// who else there is, it has none.
 func (c *Control) quota(now time.Time, rollout *fleet.Rollout, state fleet.RolloutState) roll.Quota {
-	return c.evidence.Share(c.source, rollout, state, c.liveRouters(now), c.synced(now))
+	synced := c.synced(now)
+	q := c.evidence.Share(c.source, rollout, state, c.liveRouters(now), synced)
+	if !synced {
+		q.Left = 0
+	}
+	return q
 }
 
 // wrote takes note that a write is over. Its effect shows in the next read,
