Pass on a dead router's counters that its peers had not all heard

Cause: a heartbeat carries the counters of its sender, and of routers that no longer speak for themselves, since a mark. While a router lived, its counters were left out, but the mark moved past them; after its death nobody sent them again, so a router that came later, or that had missed the last heartbeat, never knew of them. Its share of a roll-out's session limit was too large by them, and evidence against a bad version was lost.

Now the marks begin anew when a peer falls silent. Ruled out: sending every counter at every heartbeat, and marks by source.

--- a/internal/ctrl/beat.go
+++ b/internal/ctrl/beat.go
@@ -74,14 +74,18 @@
 	for _, w := range c.withdrawn {
 		b.Withdrawals = append(b.Withdrawals, w)
 	}
-	var marks Marks
+	known := r.marks
+	if known.relays != c.relays {
+		known.Evidence, known.Estimates = 0, 0
+	}
+	marks := Marks{relays: c.relays}
 	var evidence []roll.Entry
-	evidence, marks.Evidence = c.evidence.Delta(r.marks.Evidence)
+	evidence, marks.Evidence = c.evidence.Delta(known.Evidence)
 	b.Evidence = own(evidence, func(e roll.Entry) ident.RouterID { return e.Source.Router }, c.relayed(now))
 	var estimates []casc.Entry
-	estimates, marks.Estimates = c.estimates.Delta(r.marks.Estimates)
+	estimates, marks.Estimates = c.estimates.Delta(known.Estimates)
 	b.Estimates = own(estimates, func(e casc.Entry) ident.RouterID { return e.Source.Router }, c.relayed(now))
-	b.Deaths, marks.Deaths = c.deaths.Delta(now, r.marks.Deaths)
+	b.Deaths, marks.Deaths = c.deaths.Delta(now, known.Deaths)
 	return b, marks
 }
 
--- a/internal/ctrl/control.go
+++ b/internal/ctrl/control.go
@@ -41,6 +41,7 @@
 
 	evidence  *roll.Evidence
 	estimates *casc.Estimates
+	relays    uint64 // counts changes of whose counters this router passes on
 	deaths    *poison.Table
 	home      *poison.Home
 	stewards  map[ident.ZoneID]*steward
--- a/internal/ctrl/event.go
+++ b/internal/ctrl/event.go
@@ -210,6 +210,7 @@
 	Evidence  roll.Mark
 	Estimates casc.Mark
 	Deaths    poison.Version
+	relays    uint64 // Control.relays when they were made
 }
 
 // Cold says that a router takes an endpoint for cold against its word.
--- a/internal/ctrl/member.go
+++ b/internal/ctrl/member.go
@@ -32,6 +32,7 @@
 	marks      Marks     // that it has
 	sent       time.Time // last heartbeat to it
 	sending    bool
+	lived      bool // at the last tick
 	serving    bool
 	stopping   bool
 	platform   bool // whether it reaches the platform
@@ -73,6 +74,10 @@
 // age forgets routers that are long dead, and folds their evidence.
 func (c *Control) age(now time.Time) {
 	for id, r := range c.routers {
+		if r.lived && !r.live(now) {
+			c.relays++ // its last counters may not have reached every peer
+		}
+		r.lived = r.live(now)
 		_, listed := c.listed[id]
 		if r.live(now) || now.Sub(later(r.heard, r.met)) < forgetAfter || listed {
 			continue
