--- /dev/null
+++ b/internal/ctrl/suite_test.go
@@ -0,0 +1,30 @@
+package ctrl_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	_ "pgregory.net/rapid" // its flags
+)
+
+func TestCtrl(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "ctrl")
+}
+
+// TestMain fixes the seed and the length of the random tests unless given.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	preset("rapid.seed", "20261203")
+	preset("rapid.checks", "60")
+	os.Exit(m.Run())
+}
+
+func preset(name, value string) {
+	if f := flag.Lookup(name); f.Value.String() == f.DefValue {
+		_ = flag.Set(name, value)
+	}
+}
