--- a/internal/ctrl/world_test.go
+++ b/internal/ctrl/world_test.go
@@ -49,7 +49,8 @@
 	inbox   []ctrl.Event // while frozen
 	frozen  bool
 	dead    bool
-	apart   bool // cut off from the platform
+	apart   bool      // cut off from the platform
+	alone   time.Time // since when it is cut off from all, or the zero time
 	best    ident.Generation
 	gone    map[ident.Release]bool
 	denied  []permit.Reason
@@ -315,6 +316,26 @@
 			w.fail("endpoint %s bears 1 request, and %d permits are out", id, count)
 		}
 	}
+	for _, n := range w.nodes {
+		w.checkAlone(n)
+	}
+}
+
+// checkAlone looks for a router that goes on serving though nobody could tell
+// it of a new configuration. One that has never known a peer may do so.
+func (w *world) checkAlone(n *node) {
+	alone := n.apart || w.store.down
+	for _, m := range w.nodes {
+		alone = alone && (m == n || !w.reaches(n, m) || !w.reaches(m, n))
+	}
+	switch {
+	case !alone:
+		n.alone = time.Time{}
+	case n.alone.IsZero():
+		n.alone = w.now
+	case w.now.Sub(n.alone) > inForce && w.ready(n) && len(n.view.Fleet) > 1:
+		w.fail("router %s serves, cut off from all for %s", n.id, w.now.Sub(n.alone))
+	}
 }
 
 // checkView looks at what holds of each router's view.
