--- a/internal/ctrl/beat.go
+++ b/internal/ctrl/beat.go
@@ -74,14 +74,18 @@
 	for _, w := range c.withdrawn {
 		b.Withdrawals = append(b.Withdrawals, w)
 	}
-	var marks Marks
+	known := r.marks
+	if known.relays != c.relays {
+		known.Evidence, known.Estimates = 0, 0
+	}
+	marks := Marks{relays: c.relays}
 	var evidence []roll.Entry
-	evidence, marks.Evidence = c.evidence.Delta(r.marks.Evidence)
+	evidence, marks.Evidence = c.evidence.Delta(known.Evidence)
 	b.Evidence = own(evidence, func(e roll.Entry) ident.RouterID { return e.Source.Router }, c.relayed(now))
 	var estimates []casc.Entry
-	estimates, marks.Estimates = c.estimates.Delta(r.marks.Estimates)
+	estimates, marks.Estimates = c.estimates.Delta(known.Estimates)
 	b.Estimates = own(estimates, func(e casc.Entry) ident.RouterID { return e.Source.Router }, c.relayed(now))
-	b.Deaths, marks.Deaths = c.deaths.Delta(now, r.marks.Deaths)
+	b.Deaths, marks.Deaths = c.deaths.Delta(now, known.Deaths)
 	return b, marks
 }
 
@@ -124,7 +128,7 @@
 	c.estimates.Merge(b.Estimates)
 	c.deaths.Merge(now, b.Deaths)
 	c.heedColds(now, b.Colds)
-	actions := c.hear(b.Router, b.Generation)
+	actions := c.hear(now, b.Router, b.Generation)
 	for _, w := range b.Withdrawals {
 		actions = append(actions, c.withdraw(now, w)...)
 	}
@@ -141,6 +145,7 @@
 	r.router = e.Router
 	r.sending = false
 	r.heard = now
+	r.answered = later(r.answered, e.Asked)
 	r.marks = e.Marks
 	r.told = e.Told
 	r.generation = max(r.generation, e.Generation)
@@ -148,7 +153,7 @@
 	if e.Generation == c.generation() && e.Generation > 0 && e.Age >= 0 {
 		c.confirm(r.confirmed)
 	}
-	return c.hear(e.Router, e.Generation)
+	return c.hear(now, e.Router, e.Generation)
 }
 
 func (c *Control) missed(id ident.RouterID) {
--- a/internal/ctrl/member.go
+++ b/internal/ctrl/member.go
@@ -27,10 +27,12 @@
 	generation ident.Generation
 	confirmed  time.Time // by this router's clock
 	heard      time.Time // last heartbeat from it or answer of it
+	answered   time.Time // when the newest heartbeat that it answered was sent
 	met        time.Time // when it was first listed or heard
 	marks      Marks     // that it has
 	sent       time.Time // last heartbeat to it
 	sending    bool
+	lived      bool // at the last tick
 	serving    bool
 	stopping   bool
 	platform   bool // whether it reaches the platform
@@ -72,6 +74,10 @@
 // age forgets routers that are long dead, and folds their evidence.
 func (c *Control) age(now time.Time) {
 	for id, r := range c.routers {
+		if r.lived && !r.live(now) {
+			c.relays++ // its last counters may not have reached every peer
+		}
+		r.lived = r.live(now)
 		_, listed := c.listed[id]
 		if r.live(now) || now.Sub(later(r.heard, r.met)) < forgetAfter || listed {
 			continue
@@ -112,7 +118,7 @@
 	peers    []*router      // all known, sorted by id
 	live     []fleet.Router // the live ones with this router, sorted by id
 	stewards map[ident.ZoneID]ident.RouterID
-	heard    time.Time // newest time at which any peer was heard
+	answered int // peers that are in reach both ways
 }
 
 func (c *Control) roster(now time.Time) *roster {
@@ -126,10 +132,13 @@
 	sort.Slice(m.peers, func(i, j int) bool { return m.peers[i].router.ID < m.peers[j].router.ID })
 	m.live = append(m.live, c.self)
 	for _, r := range m.peers {
-		m.heard = later(m.heard, r.heard)
 		if !r.live(now) {
 			continue
 		}
+		// A peer that is only heard cannot pass on what this router lacks.
+		if now.Sub(r.answered) <= heardFor {
+			m.answered++
+		}
 		m.live = append(m.live, r.router)
 		for _, z := range r.stewards {
 			m.stewards[z] = r.router.ID
@@ -142,9 +151,9 @@
 
 // relay tells whether this router reads the platform for its zone: it is the
 // first of the zone's live routers.
-func (c *Control) relay() bool {
+func (c *Control) relay(now time.Time) bool {
 	for _, r := range c.routers {
-		if r.router.Zone == c.self.Zone && r.router.ID < c.self.ID && !r.heard.IsZero() && !r.router.Leaving && r.platform {
+		if r.router.Zone == c.self.Zone && r.router.ID < c.self.ID && r.live(now) && !r.router.Leaving && r.platform {
 			return false
 		}
 	}
--- a/internal/ctrl/view.go
+++ b/internal/ctrl/view.go
@@ -18,6 +18,10 @@
 // many times the interval between views, and short of every fleet-wide bound.
 const viewLife = 2 * time.Second
 
+// behindFor is how long a router that knows of a newer configuration than its
+// own may take to get it before it stops serving.
+const behindFor = 3 * time.Second
+
 // View is what the control thread publishes for the traffic threads. It is
 // immutable but for the quotas, which count down as sessions are assigned.
 type View struct {
@@ -91,7 +95,7 @@
 		Quotas:    map[ident.ModelID]*Quota{},
 		Stewards:  map[ident.ZoneID]ident.RouterID{},
 		Estimates: c.estimates.Clone(),
-		Relay:     c.relay(),
+		Relay:     c.relay(now),
 		Platform:  status.Platform{Reachable: c.platform.reachable, Since: c.platform.since},
 		spread:    map[ident.Release][]ident.RouterID{},
 		stored:    map[ident.Release]bool{},
@@ -194,12 +198,15 @@
 }
 
 // serving tells whether this router may take new requests: it has a
-// configuration that was confirmed as current, and is not cut off from
-// everyone who could tell of a newer one.
+// configuration that was confirmed as current, knows of no newer one that it
+// cannot get, and is not cut off from everyone who could tell of one.
 func (c *Control) serving(now time.Time) bool {
 	if c.config == nil || c.stopping || c.confirmed.IsZero() {
 		return false
 	}
+	if !c.behind.IsZero() && now.Sub(c.behind) > behindFor {
+		return false
+	}
 	return gossip.Fresh(now, c.reachOf(now)) != gossip.StandingAlone
 }
 
@@ -238,5 +245,5 @@
 			listed++
 		}
 	}
-	return gossip.Reach{Confirmed: c.confirmed, Live: len(m.live) - 1, Listed: listed}
+	return gossip.Reach{Confirmed: c.confirmed, Live: m.answered, Listed: listed}
 }
