--- a/internal/gossip/spread.go
+++ b/internal/gossip/spread.go
@@ -163,7 +163,7 @@
 
 func (f randomFanout) pass(s *spread, router, _ int) []parcel {
 	parcels := make([]parcel, 0, f.k)
-	for _, to := range s.others(router, f.k, nil) {
+	for _, to := range s.drawn(router, f.k) {
 		parcels = append(parcels, parcel{to: to})
 	}
 	return parcels
@@ -173,7 +173,7 @@
 	var parcels []parcel
 	for prefix := depth; prefix < 64; prefix++ {
 		bucket := s.bucket(router, prefix)
-		for _, to := range s.others(router, t.r, bucket) {
+		for _, to := range s.others(t.r, bucket) {
 			parcels = append(parcels, parcel{to, prefix + 1})
 		}
 		if s.last(router, prefix) {
@@ -204,15 +204,8 @@
 	return true
 }
 
-// others draws up to count routers from a list, or from all if it is nil.
-func (s *spread) others(router, count int, from []int) []int {
-	if from == nil {
-		for i := range s.knows {
-			if i != router {
-				from = append(from, i)
-			}
-		}
-	}
+// others draws up to count routers from a list.
+func (s *spread) others(count int, from []int) []int {
 	count = min(count, len(from))
 	for i := range count {
 		j := i + s.random.below(len(from)-i)
@@ -220,3 +213,16 @@
 	}
 	return from[:count]
 }
+
+// drawn draws up to count other routers.
+func (s *spread) drawn(router, count int) []int {
+	count = min(count, len(s.knows)-1)
+	list := make([]int, 0, count)
+	for len(list) < count {
+		to := s.random.below(len(s.knows))
+		if to != router && !slices.Contains(list, to) {
+			list = append(list, to)
+		}
+	}
+	return list
+}
--- a/internal/gossip/targets.go
+++ b/internal/gossip/targets.go
@@ -3,6 +3,7 @@
 package gossip
 
 import (
+	"slices"
 	"time"
 
 	"github.com/marigoldscale/marigoldscale/internal/fleet"
@@ -49,28 +50,30 @@
 // for heartbeats it is the number of the round. Leaving routers are sent to as
 // well, for they still end their streams.
 func Targets(seed uint64, self ident.RouterID, routers []fleet.Router, kind Kind) []ident.RouterID {
-	others := make([]ident.RouterID, 0, len(routers))
-	for _, r := range routers {
-		if r.ID != self {
-			others = append(others, r.ID)
-		}
-	}
-	if len(routers) <= maxAllPairs {
-		return others
-	}
 	count := 1
-	if kind == KindUrgent {
+	switch {
+	case len(routers) <= maxAllPairs:
+		return others(self, routers)
+	case kind == KindUrgent:
 		count = fanout
 	}
-	return draw(newSource(seed, self), others, count)
+	s := newSource(seed, self)
+	targets := make([]ident.RouterID, 0, count)
+	for len(targets) < count {
+		id := routers[s.below(len(routers))].ID
+		if id != self && !slices.Contains(targets, id) {
+			targets = append(targets, id)
+		}
+	}
+	return targets
 }
 
-// draw moves count random ids to the front and gives them.
-func draw(s *source, ids []ident.RouterID, count int) []ident.RouterID {
-	count = min(count, len(ids))
-	for i := range count {
-		j := i + s.below(len(ids)-i)
-		ids[i], ids[j] = ids[j], ids[i]
+func others(self ident.RouterID, routers []fleet.Router) []ident.RouterID {
+	ids := make([]ident.RouterID, 0, len(routers))
+	for _, r := range routers {
+		if r.ID != self {
+			ids = append(ids, r.ID)
+		}
 	}
-	return ids[:count]
+	return ids
 }
