Prove that old news neither turns a router back nor makes it serve

Seen to fail first, each by its own entry: Asked taken for now in acked, both guards of an older head in read, the guard in fetched, the equal generation in acked, and the time of the read in confirm.

--- /dev/null
+++ b/internal/ctrl/news_test.go
@@ -0,0 +1,59 @@
+package ctrl_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/marigoldscale/marigoldscale/internal/ctrl"
+	"github.com/marigoldscale/marigoldscale/internal/fleet"
+	"github.com/marigoldscale/marigoldscale/internal/plat"
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+var _ = Describe("Old news", func() {
+	peer := fleet.Router{ID: "b1", Zone: "b", Peer: "b1"}
+	old := &fleet.Config{Generation: 1, Zones: map[ident.ZoneID]*fleet.Zone{}}
+	withdrawal := fleet.Withdrawal{Release: candidate, By: "test"}
+
+	// settled gives a router at generation 2 that was confirmed at start, and
+	// has a peer.
+	settled := func() *ctrl.Control {
+		c := ctrl.New(fleet.Router{ID: "a1", Zone: "a"}, ctrl.DefaultSettings(250*time.Millisecond), start)
+		c.Step(start, ctrl.Read{Asked: start, Head: plat.Head{Generation: 2}, Config: newConfig()})
+		c.Step(start, ctrl.Beaten{Beat: ctrl.Beat{Router: peer, Generation: 2}})
+		c.Step(start, ctrl.Withdraw{Withdrawal: withdrawal})
+		return c
+	}
+	now := start.Add(10 * time.Second)
+
+	DescribeTable("neither turns a router back nor makes it serve",
+		func(e ctrl.Event) {
+			c := settled()
+			c.Step(now, e)
+			c.Step(now, ctrl.Tick{})
+			v := c.View(now)
+			Expect(c.Head().Generation).To(BeEquivalentTo(2))
+			Expect(v.Config.Zones).To(HaveKey(BeEquivalentTo("a")))
+			Expect(v.Confirmed).To(Equal(start))
+			Expect(v.Allowed(candidate)).To(BeFalse())
+			Expect(v.Ready(now)).To(BeFalse())
+		},
+		Entry("a stale read", Label("fault=platform-stale", "step=spread", "holds=config"), ctrl.Read{Asked: now, Head: plat.Head{Generation: 1}, Config: old}),
+		Entry("a read of a platform that lost its objects", Label("fault=platform-stale", "step=spread"), ctrl.Read{Asked: now}),
+		Entry("a read sent long ago", Label("fault=platform-slow", "step=spread"), ctrl.Read{Asked: start, Head: plat.Head{Generation: 2}}),
+		Entry("a peer's older configuration", Label("fault=peer-slow", "step=spread", "holds=config"), ctrl.Fetched{Head: plat.Head{Generation: 1}, Config: old}),
+		Entry("a peer of an older generation", Label("fault=peer-slow", "step=spread"), ctrl.Acked{Router: peer, Asked: start, Generation: 1}),
+		Entry("an answer to an old heartbeat", Label("fault=peer-slow", "fault=router-frozen", "step=admit", "step=spread"), ctrl.Acked{Router: peer, Asked: start, Generation: 2}),
+		Entry("a heartbeat that nothing says is new", Label("fault=peer-oneway", "fault=router-frozen", "step=admit"), ctrl.Beaten{Beat: ctrl.Beat{Router: peer, Generation: 2, Platform: true, Serving: true}}),
+	)
+
+	It("of a peer that is well, but at an older generation, confirms nothing", Label("fault=peer-slow", "step=publish", "holds=config"), func() {
+		c := settled()
+		c.Step(now, ctrl.Acked{Router: peer, Asked: now, Generation: 1})
+		Expect(c.View(now).Confirmed).To(Equal(start))
+		c.Step(now, ctrl.Acked{Router: peer, Asked: now, Generation: 2, Age: time.Second})
+		Expect(c.View(now).Confirmed).To(Equal(now.Add(-time.Second)))
+	})
+})
