Look again for a withdrawal right before an attempt is sent

Cause: a version that was withdrawn while a request waited up to a second for a permit on a cold endpoint, or for a hedge's consent, still got the attempt: the version was only looked at when the endpoint was chosen. Now it is looked at together with the permit, right before the sending; the flow then finds it withdrawn and refuses with "not run".

--- a/internal/serve/try.go
+++ b/internal/serve/try.go
@@ -24,8 +24,12 @@
 	deathTimeout = 200 * time.Millisecond
 )
 
-// errPermit means that a permit ran out before or while the attempt ran.
-var errPermit = errors.New("permit for a cold endpoint has run out")
+var (
+	// errPermit means that a permit ran out before the attempt was sent.
+	errPermit = errors.New("permit for a cold endpoint has run out")
+	// errWithdrawn means that the release was withdrawn after its choice.
+	errWithdrawn = errors.New("release was withdrawn")
+)
 
 // try is one attempt in flight.
 type try struct {
@@ -85,8 +89,8 @@
 		stop := t.boundByPermit(ctx)
 		defer stop()
 	}
-	if t.action.Cold && !t.server.Permits.Check(t.server.Now(), t.action.Attempt) {
-		ended.Error = errors.WithMessage(engine.ErrNotSent, errPermit.Error())
+	if err := t.mayNotSend(); err != nil {
+		ended.Error = errors.WithMessage(engine.ErrNotSent, err.Error())
 	} else {
 		ended.Answer, ended.Error = t.send(ctx, post)
 	}
@@ -94,6 +98,18 @@
 	return ended
 }
 
+// mayNotSend looks again, right before the sending, at what may have changed
+// since the endpoint was chosen.
+func (t *try) mayNotSend() error {
+	if t.request.Service == "" && !t.server.View().Allowed(t.action.Release) {
+		return errWithdrawn
+	}
+	if t.action.Cold && !t.server.Permits.Check(t.server.Now(), t.action.Attempt) {
+		return errPermit
+	}
+	return nil
+}
+
 // boundByPermit cancels the attempt when its permit ends.
 func (t *try) boundByPermit(ctx context.Context) (stop func()) {
 	ending := t.server.Permits.Ending(t.action.Attempt)
