Gossip between routers of larger fleets instead of all pairs

Change: beyond 16 routers one heartbeat goes to a random router each 200 ms with the ages of 60 others; news go to 4 at once, who pass them on; evidence goes to the collectors of its roll-out. Ticks are 100 ms apart there. Exactly half of the routers no longer serve without the platform: the other half may have a newer configuration in force; the test that allowed it now forbids it. Not held yet: load reports, which each router still reads from every endpoint.

--- a/internal/bench/control.go
+++ b/internal/bench/control.go
@@ -8,6 +8,7 @@
 	"github.com/marigoldscale/marigoldscale/internal/ctrl"
 	"github.com/marigoldscale/marigoldscale/internal/engine"
 	"github.com/marigoldscale/marigoldscale/internal/fleet"
+	"github.com/marigoldscale/marigoldscale/internal/gossip"
 	"github.com/marigoldscale/marigoldscale/internal/plat"
 	"github.com/marigoldscale/marigoldscale/internal/roll"
 	"github.com/marigoldscale/marigoldscale/internal/router"
@@ -34,7 +35,7 @@
 // ControlRow is what one control thread costs at a size.
 type ControlRow struct {
 	Fleet  Fleet         `json:"fleet"`
-	CPU    float64       `json:"cpu"`    // share of a core
+	CPU    float64       `json:"cpu"`    // share of a core, that of showing the world included
 	Sent   float64       `json:"sent"`   // bytes of heartbeats a second
 	Beats  float64       `json:"beats"`  // heartbeats sent a second
 	State  uint64        `json:"state"`  // bytes
@@ -85,7 +86,6 @@
 	sent    int64
 	beats   int64
 	stall   time.Duration
-	busy    time.Duration
 	err     error
 }
 
@@ -96,7 +96,9 @@
 	state := heap() - min(before, heap())
 	var start, end runtime.MemStats
 	runtime.ReadMemStats(&start)
+	used := processorTime()
 	b.run(controlSpan)
+	used = processorTime() - used
 	runtime.ReadMemStats(&end)
 	if b.err != nil {
 		return ControlRow{}, fmt.Errorf("control thread among %d routers: %w", f.Routers, b.err)
@@ -104,7 +106,7 @@
 	span := controlSpan.Seconds()
 	return ControlRow{
 		Fleet:  f,
-		CPU:    b.busy.Seconds() / span,
+		CPU:    used.Seconds() / span,
 		Sent:   float64(b.sent) / span,
 		Beats:  float64(b.beats) / span,
 		State:  state,
@@ -188,14 +190,16 @@
 	}
 	b.step(ctrl.Listed{Instances: instances})
 	b.run(3 * time.Second)
-	b.sent, b.beats, b.stall, b.busy = 0, 0, 0, 0
+	b.sent, b.beats, b.stall = 0, 0, 0
 }
 
 // run lets time pass with everything that a live fleet brings.
 func (b *bed) run(span time.Duration) {
 	for n := 1; n <= int(span/controlTick); n++ {
 		b.now = b.now.Add(controlTick)
-		b.step(ctrl.Tick{})
+		if n%int(b.control.Interval()/controlTick) == 0 {
+			b.step(ctrl.Tick{})
+		}
 		b.hear(n)
 		b.report(n)
 		b.serve(n)
@@ -206,6 +210,9 @@
 // hear brings the peers' heartbeats, spread evenly over their interval.
 func (b *bed) hear(n int) {
 	every := int(controlBeat / controlTick)
+	if !gossip.AllPairs(b.fleet.Routers) {
+		every = int(gossip.Interval(b.fleet.Routers)/controlTick) * len(b.peers)
+	}
 	for i, p := range b.peers {
 		if (i+n)%every != 0 {
 			continue
@@ -263,7 +270,6 @@
 	actions := b.control.Step(b.now, e)
 	b.control.View(b.now)
 	took := time.Since(began)
-	b.busy += took
 	b.stall = max(b.stall, took)
 	for _, a := range actions {
 		b.answer(a)
@@ -273,11 +279,10 @@
 func (b *bed) answer(a ctrl.Action) {
 	switch a := a.(type) {
 	case ctrl.SendBeat:
-		size, took, err := router.BeatSize(a.Beat)
+		size, err := router.BeatSize(a.Beat)
 		if err != nil {
 			b.err = err
 		}
-		b.busy += took
 		b.sent += int64(size)
 		b.beats++
 		b.step(ctrl.Acked{Router: a.To, Asked: b.now, Generation: b.config.Generation, Marks: a.Marks})
--- a/internal/ctrl/beat.go
+++ b/internal/ctrl/beat.go
@@ -13,10 +13,13 @@
 
 // beat sends the heartbeats that are due.
 func (c *Control) beat(now time.Time) []Action {
+	if !c.allPairs() {
+		return c.gossip(now)
+	}
 	var actions []Action
 	for _, r := range c.roster(now).peers {
 		interval := c.settings.Heartbeat
-		if !r.live(now) {
+		if !c.live(now, r) {
 			interval = probeInterval
 		}
 		if !r.sending && now.Sub(r.sent) >= interval {
@@ -35,8 +38,10 @@
 	return actions
 }
 
-// urgent makes heartbeats to every peer due at once.
+// urgent makes heartbeats due at once: to every peer, or in a larger fleet to a
+// few that pass the word on.
 func (c *Control) urgent() []Action {
+	c.rumour = true
 	for _, r := range c.routers {
 		r.sent = time.Time{}
 		r.sending = false
@@ -82,6 +87,10 @@
 	var evidence []roll.Entry
 	evidence, marks.Evidence = c.evidence.Delta(known.Evidence)
 	b.Evidence = own(evidence, func(e roll.Entry) ident.RouterID { return e.Source.Router }, c.relayed(now))
+	if !c.allPairs() {
+		b.Evidence = c.collected(now, r.router.ID, b.Evidence)
+		b.Hearsay = c.hearsay(now)
+	}
 	var estimates []casc.Entry
 	estimates, marks.Estimates = c.estimates.Delta(known.Estimates)
 	b.Estimates = own(estimates, func(e casc.Entry) ident.RouterID { return e.Source.Router }, c.relayed(now))
@@ -97,7 +106,7 @@
 			return true
 		}
 		r, ok := c.routers[id]
-		return !ok || !r.live(now)
+		return !ok || !c.live(now, r)
 	}
 }
 
@@ -128,6 +137,7 @@
 	c.estimates.Merge(b.Estimates)
 	c.deaths.Merge(now, b.Deaths)
 	c.heedColds(now, b.Colds)
+	c.listen(now, b.Hearsay)
 	actions := c.hear(now, b.Router, b.Generation)
 	for _, w := range b.Withdrawals {
 		actions = append(actions, c.withdraw(now, w)...)
--- a/internal/ctrl/control.go
+++ b/internal/ctrl/control.go
@@ -33,6 +33,12 @@
 	listed    map[ident.RouterID]plat.Instance
 	members   *roster // of the newest time that was asked about
 	places    places
+	short     map[uint32]*router // routers by shortID
+	rumour    bool               // news to pass on at once
+	round     uint64             // of heartbeats, in larger fleets
+	lastRound time.Time
+	lastView  time.Time
+	lastGive  time.Time // of evidence to its collectors
 	endpoints map[ident.EndpointID]*endpoint
 	byZone    map[ident.ZoneID][]*endpoint
 	zones     []ident.ZoneID // that have endpoints, sorted
@@ -141,6 +147,15 @@
 	return nil
 }
 
+// Interval gives the time between ticks. A larger fleet, in which each tick
+// costs more, has longer ones.
+func (c *Control) Interval() time.Duration {
+	if c.allPairs() {
+		return tickSmall
+	}
+	return tickLarge
+}
+
 // tick does what is due by time.
 func (c *Control) tick(now time.Time) []Action {
 	var actions []Action
@@ -149,7 +164,7 @@
 	actions = append(actions, c.decide(now)...)
 	actions = append(actions, c.steer(now)...)
 	actions = append(actions, c.beat(now)...)
-	c.changed = true
+	c.changed = c.changed || now.Sub(c.lastView) >= 2*c.Interval()
 	return actions
 }
 
@@ -185,6 +200,9 @@
 	// longestFollow is the longest time between a router's reads of the roll-outs
 	// under way.
 	longestFollow = 5 * time.Second
+	// tickSmall and tickLarge are the times between ticks.
+	tickSmall = 50 * time.Millisecond
+	tickLarge = 100 * time.Millisecond
 	// announceInterval is the time between renewals in the list of instances.
 	announceInterval = 5 * time.Second
 )
--- a/internal/ctrl/event.go
+++ b/internal/ctrl/event.go
@@ -200,11 +200,18 @@
 	Deaths      poison.Delta
 	Colds       []Cold
 	Stewards    []ident.ZoneID // whose steward the sender is
+	Hearsay     []Hearsay      // in larger fleets
 	Platform    bool           // whether the sender reaches the platform
 	Serving     bool
 	Stopping    bool
 }
 
+// Hearsay tells when a router was last heard of.
+type Hearsay struct {
+	Hash uint32 // of the router's id
+	Age  time.Duration
+}
+
 // Marks are points in the histories that heartbeats carry changes of.
 type Marks struct {
 	Evidence  roll.Mark
--- a/internal/ctrl/member.go
+++ b/internal/ctrl/member.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/marigoldscale/marigoldscale/internal/fleet"
+	"github.com/marigoldscale/marigoldscale/internal/gossip"
 	"github.com/marigoldscale/marigoldscale/internal/plat"
 	"github.com/marigoldscale/marigoldscale/internal/roll"
 	"github.com/marigoldscale/marigoldscale/pkg/ident"
@@ -74,12 +75,12 @@
 // age forgets routers that are long dead, and folds their evidence.
 func (c *Control) age(now time.Time) {
 	for id, r := range c.routers {
-		if r.lived && !r.live(now) {
+		if r.lived && !c.live(now, r) {
 			c.relays++ // its last counters may not have reached every peer
 		}
-		r.lived = r.live(now)
+		r.lived = c.live(now, r)
 		_, listed := c.listed[id]
-		if r.live(now) || now.Sub(later(r.heard, r.met)) < forgetAfter || listed {
+		if c.live(now, r) || now.Sub(later(r.heard, r.met)) < forgetAfter || listed {
 			continue
 		}
 		delete(c.routers, id)
@@ -102,13 +103,27 @@
 	}
 	c.evidence.Trim(now, c.config, states, func(s roll.Source) bool {
 		r, ok := c.routers[s.Router]
-		return s == c.source || ok && r.live(now)
+		return s == c.source || ok && c.live(now, r)
 	})
 }
 
 // live tells whether a router is taken to be alive.
-func (r *router) live(now time.Time) bool {
-	return !r.heard.IsZero() && now.Sub(r.heard) <= heardFor
+func (c *Control) live(now time.Time, r *router) bool {
+	return !r.heard.IsZero() && now.Sub(r.heard) <= c.silence()
+}
+
+// silence gives how long a router may go unheard of. Word of it takes longer
+// where not all pairs of routers talk.
+func (c *Control) silence() time.Duration {
+	if c.allPairs() {
+		return heardFor
+	}
+	return gossip.Silence(len(c.routers) + 1)
+}
+
+// allPairs tells whether this router talks to every other.
+func (c *Control) allPairs() bool {
+	return gossip.AllPairs(len(c.routers) + 1)
 }
 
 // roster is the membership as seen at one time, worked out once for all that is
@@ -132,7 +147,7 @@
 	sort.Slice(m.peers, func(i, j int) bool { return m.peers[i].router.ID < m.peers[j].router.ID })
 	m.live = append(m.live, c.self)
 	for _, r := range m.peers {
-		if !r.live(now) {
+		if !c.live(now, r) {
 			continue
 		}
 		// A peer that is only heard cannot pass on what this router lacks.
@@ -153,7 +168,7 @@
 // first of the zone's live routers.
 func (c *Control) relay(now time.Time) bool {
 	for _, r := range c.routers {
-		if r.router.Zone == c.self.Zone && r.router.ID < c.self.ID && r.live(now) && !r.router.Leaving && r.platform {
+		if r.router.Zone == c.self.Zone && r.router.ID < c.self.ID && c.live(now, r) && !r.router.Leaving && r.platform {
 			return false
 		}
 	}
--- a/internal/ctrl/view.go
+++ b/internal/ctrl/view.go
@@ -78,6 +78,7 @@
 		return nil
 	}
 	c.changed = false
+	c.lastView = now
 	v := &View{
 		Snapshot: &fleet.Snapshot{
 			Self:      c.self,
@@ -149,7 +150,7 @@
 			Admin:      r.router.Admin,
 			Generation: r.generation,
 			Confirmed:  r.confirmed,
-			Serving:    r.serving && r.live(now),
+			Serving:    r.serving && c.live(now, r),
 			Stopping:   r.stopping,
 			Seen:       r.heard,
 		})
@@ -163,7 +164,7 @@
 		v.stored[release] = c.stored[release]
 		v.spread[release] = append(v.spread[release], c.self.ID)
 		for _, r := range c.roster(now).peers {
-			if r.live(now) && r.told[release] {
+			if c.live(now, r) && r.told[release] {
 				v.spread[release] = append(v.spread[release], r.router.ID)
 			}
 		}
@@ -239,11 +240,15 @@
 // reachOf gives what this router can reach.
 func (c *Control) reachOf(now time.Time) gossip.Reach {
 	m := c.roster(now)
-	listed := 0
-	for id := range c.listed {
-		if r, ok := c.routers[id]; ok && !r.router.Leaving {
-			listed++
+	others := 0
+	for _, r := range c.routers {
+		if !r.router.Leaving {
+			others++
 		}
 	}
-	return gossip.Reach{Confirmed: c.confirmed, Live: m.answered, Listed: listed}
+	live := m.answered
+	if !c.allPairs() && m.answered > 0 {
+		live = len(m.live) - 1 // most are known by what others say of them
+	}
+	return gossip.Reach{Confirmed: c.confirmed, Live: live, Listed: others}
 }
--- a/internal/gossip/fresh.go
+++ b/internal/gossip/fresh.go
@@ -10,12 +10,13 @@
 	// StandingFresh means that someone confirmed the configuration as current a
 	// moment ago.
 	StandingFresh Standing = iota
-	// StandingTogether means that at least half of the routers are reached and
+	// StandingTogether means that more than half of the routers are reached and
 	// none of them reaches the platform either, which is taken as an outage of
 	// the platform. The router goes on.
 	StandingTogether
-	// StandingAlone means that the router is cut off with less than half of the
-	// routers. It must refuse new work.
+	// StandingAlone means that the router is cut off with no more than half of the
+	// routers, so that the others may have a newer configuration in force. It
+	// must refuse new work.
 	StandingAlone
 )
 
@@ -36,7 +37,7 @@
 		return StandingFresh
 	}
 	// The router itself counts on both sides.
-	if 2*(reach.Live+1) >= reach.Listed+1 {
+	if 2*(reach.Live+1) > reach.Listed+1 {
 		return StandingTogether
 	}
 	return StandingAlone
--- a/internal/gossip/targets.go
+++ b/internal/gossip/targets.go
@@ -37,6 +37,11 @@
 	heartbeatOne = 200 * time.Millisecond
 )
 
+// AllPairs tells whether every router of a fleet sends to every other.
+func AllPairs(routers int) bool {
+	return routers <= maxAllPairs
+}
+
 // Interval gives the time between two rounds of heartbeats.
 func Interval(routers int) time.Duration {
 	if routers <= maxAllPairs {
--- a/internal/router/beat.go
+++ b/internal/router/beat.go
@@ -16,8 +16,13 @@
 	"github.com/marigoldscale/marigoldscale/pkg/ident"
 )
 
-// beatTimeout bounds one heartbeat.
-const beatTimeout = time.Second
+const (
+	// beatTimeout bounds one heartbeat.
+	beatTimeout = time.Second
+	// ageUnit is the unit of ages in heartbeats, and maxAge the largest.
+	ageUnit = 100 * time.Millisecond
+	maxAge  = 255
+)
 
 // sendBeat sends a heartbeat and tells the control thread what came back.
 func (r *Router) sendBeat(ctx context.Context, a ctrl.SendBeat) {
@@ -86,6 +91,10 @@
 	for _, z := range b.Stewards {
 		request.Stewards = append(request.Stewards, string(z))
 	}
+	for _, h := range b.Hearsay {
+		request.Heard = append(request.Heard, h.Hash)
+		request.Ages = append(request.Ages, byte(min(h.Age/ageUnit+1, maxAge)))
+	}
 	for _, w := range b.Withdrawals {
 		request.Withdrawals = append(request.Withdrawals, &wire.Withdrawal{
 			Model: string(w.Release.Model), Version: string(w.Release.Version),
@@ -148,6 +157,11 @@
 	for _, z := range request.Stewards {
 		b.Stewards = append(b.Stewards, ident.ZoneID(z))
 	}
+	for i, hash := range request.Heard {
+		if i < len(request.Ages) {
+			b.Hearsay = append(b.Hearsay, ctrl.Hearsay{Hash: hash, Age: time.Duration(request.Ages[i]) * ageUnit})
+		}
+	}
 	for _, w := range request.Withdrawals {
 		b.Withdrawals = append(b.Withdrawals, fleet.Withdrawal{
 			Release: ident.Release{Model: ident.ModelID(w.Model), Version: ident.VersionID(w.Version)},
@@ -230,17 +244,16 @@
 	return &wire.FetchReply{Head: head, Config: config}, nil
 }
 
-// BeatSize encodes a heartbeat as it is sent, and gives its size in bytes and
-// the time that this took, for measurements.
-func BeatSize(b ctrl.Beat) (bytes int, took time.Duration, err error) {
-	began := time.Now()
+// BeatSize encodes a heartbeat as it is sent, and gives its size in bytes, for
+// measurements.
+func BeatSize(b ctrl.Beat) (int, error) {
 	request, err := encodeBeat(b)
 	if err != nil {
-		return 0, 0, err
+		return 0, err
 	}
 	text, err := proto.Marshal(request)
 	if err != nil {
-		return 0, 0, fmt.Errorf("encoding heartbeat: %w", err)
+		return 0, fmt.Errorf("encoding heartbeat: %w", err)
 	}
-	return len(text), time.Since(began), nil
+	return len(text), nil
 }
--- a/internal/router/control.go
+++ b/internal/router/control.go
@@ -17,8 +17,6 @@
 )
 
 const (
-	// tickInterval is the time between the control thread's ticks.
-	tickInterval = 50 * time.Millisecond
 	// callTimeout bounds one call of the control thread's drivers.
 	callTimeout = 2 * time.Second
 )
@@ -32,7 +30,7 @@
 // controlLoop is the control thread: it steps the machine, starts what that
 // asks for and publishes views.
 func (r *Router) controlLoop(ctx context.Context) error {
-	ticker := time.NewTicker(tickInterval)
+	ticker := time.NewTimer(0)
 	defer ticker.Stop()
 	for {
 		select {
@@ -42,6 +40,7 @@
 			r.step(ctx, e)
 		case <-ticker.C:
 			r.step(ctx, ctrl.Tick{})
+			ticker.Reset(r.control.Interval())
 		}
 	}
 }
