--- a/internal/shard/journal_test.go
+++ b/internal/shard/journal_test.go
@@ -36,6 +36,14 @@
 	return j
 }
 
+// run gives the error with which a journal ends.
+func run(s shard.Settings, p plat.Platform) error {
+	j := shard.New("x", s, p, nil, time.Now, metrics.NewRegistry(), zap.NewNop())
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	return j.Run(ctx)
+}
+
 func key(i int) ident.RequestKey {
 	return ident.RequestKey{Team: "lima", Request: ident.RequestID(fmt.Sprint("r", i))}
 }
