--- a/internal/retry/assemble.go
+++ b/internal/retry/assemble.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/pkg/errors"
 
@@ -16,7 +17,7 @@
 // Drops counts the frames that were not handed on, by kind.
 type Drops struct {
 	Foreign int `json:"foreign"` // of another request, or an attempt never opened
-	Stale   int `json:"stale"`   // of an attempt that lost or was replaced
+	Stale   int `json:"stale"`   // of an attempt that lost or was closed
 	Doubled int `json:"doubled"` // received already
 	Beyond  int `json:"beyond"`  // after the final frame
 	Wide    int `json:"wide"`    // too far ahead of a gap
@@ -24,8 +25,8 @@
 
 // Assembler turns the frames of a request's attempts into the caller's answer:
 // each frame exactly once, in order, from one attempt at a time. The first of
-// several hedged attempts to bring the next frame is followed, the others'
-// frames are dropped. It is owned by one goroutine.
+// several hedged attempts to bring the next frame is followed; the others have
+// lost and should be cancelled. It is owned by one goroutine.
 type Assembler struct {
 	request  ident.RequestID
 	window   int // frames held ahead of a gap
@@ -48,16 +49,20 @@
 	return &Assembler{request: request, window: window, attempts: make(map[ident.AttemptID]*pending, 1)}
 }
 
-// Open admits an attempt's frames. Opened beside a running attempt it is a
-// hedge.
-func (a *Assembler) Open(attempt ident.AttemptID) {
+// Open admits an attempt's frames. Opened beside another one it is a hedge. It
+// tells false if an attempt is already followed: that one must be closed first.
+func (a *Assembler) Open(attempt ident.AttemptID) bool {
+	if a.leader != "" {
+		return false
+	}
 	if a.attempts[attempt] == nil {
 		a.attempts[attempt] = &pending{}
 	}
+	return true
 }
 
 // Close ends an attempt: later frames of it are dropped. If it was followed,
-// another attempt may take over from the next frame on.
+// another attempt may be opened to go on from Next.
 func (a *Assembler) Close(attempt ident.AttemptID) {
 	p := a.attempts[attempt]
 	if p == nil {
@@ -69,6 +74,18 @@
 	}
 }
 
+// Lost gives the attempts that lost to the one that is followed, sorted.
+func (a *Assembler) Lost() []ident.AttemptID {
+	var lost []ident.AttemptID
+	for id, p := range a.attempts {
+		if p.lost {
+			lost = append(lost, id)
+		}
+	}
+	slices.Sort(lost)
+	return lost
+}
+
 // Add takes in a frame and calls emit for each frame that is then due to the
 // caller. It fails with ErrGap, or with the error of emit.
 func (a *Assembler) Add(f engine.Frame, emit func(engine.Frame) error) error {
@@ -80,7 +97,7 @@
 	case a.done:
 		a.drops.Beyond++
 		return nil
-	case p.lost || a.leader != "" && a.leader != f.Attempt:
+	case p.lost:
 		a.drops.Stale++
 		return nil
 	case f.Sequence < a.next:
@@ -105,7 +122,7 @@
 func (a *Assembler) Drops() Drops { return a.drops }
 
 func (a *Assembler) follow(f engine.Frame, p *pending, emit func(engine.Frame) error) error {
-	a.leader = f.Attempt
+	a.lead(f.Attempt)
 	for {
 		a.next++
 		a.done = f.Final
@@ -126,6 +143,19 @@
 	}
 }
 
+// lead follows an attempt from now on; all others have lost.
+func (a *Assembler) lead(attempt ident.AttemptID) {
+	if a.leader == attempt {
+		return
+	}
+	a.leader = attempt
+	for id, p := range a.attempts {
+		if id != attempt {
+			p.lost, p.held = true, nil
+		}
+	}
+}
+
 func (a *Assembler) hold(f engine.Frame, p *pending) error {
 	if _, ok := p.held[f.Sequence]; ok {
 		a.drops.Doubled++
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -33,8 +33,8 @@
 	Idempotent bool
 	Attempts   int           // made so far, this one included
 	Open       int           // attempts still running, this one included if it is
-	Received   int           // frames in sequence from the start, received from attempts
-	Delivered  int           // frames handed to the caller
+	Received   int           // frames in sequence from the start, see Assembler.Next
+	Earlier    Ran           // whether any earlier attempt ran, RanNo or "" if none did
 	Started    time.Time     // of this attempt
 	Expected   time.Duration // time to the first token that only slow attempts exceed, 0 for no hedge
 	Deadline   time.Time
@@ -151,16 +151,18 @@
 	return Hedge{}
 }
 
+// ran says whether any attempt ran. An earlier one counts too: "no" is said only
+// if it is true of all.
 func ran(f Facts) Ran {
-	switch f.Outcome {
-	case OutcomeNotSent, OutcomeNotRun, OutcomeOverloaded, OutcomeRejected:
-		return RanNo
-	case OutcomeDone:
+	if f.Received > 0 || f.Outcome == OutcomeDone || f.Earlier == RanYes {
 		return RanYes
-	case OutcomeRunning, OutcomeBroken:
 	}
-	if f.Received > 0 {
-		return RanYes
+	switch f.Outcome {
+	case OutcomeNotSent, OutcomeNotRun, OutcomeOverloaded, OutcomeRejected:
+		if f.Earlier != RanUnknown && f.Open == 0 {
+			return RanNo
+		}
+	case OutcomeDone, OutcomeRunning, OutcomeBroken:
 	}
 	return RanUnknown
 }
