--- a/internal/fence/fence.go
+++ b/internal/fence/fence.go
@@ -46,7 +46,8 @@
 // Drop ends the interest in an endpoint.
 type Drop struct{ Endpoint ident.EndpointID }
 
-// Answered is the result of an order.
+// Answered is the result of an order. For ResultFenced, Term is the newest term
+// that the endpoint names, or the order's own if it names none.
 type Answered struct {
 	Endpoint ident.EndpointID
 	Term     ident.Term
--- a/internal/poison/home.go
+++ b/internal/poison/home.go
@@ -80,7 +80,11 @@
 	if r, again := runs[c.Attempt]; again {
 		return Run{Alone: r.alone}
 	}
-	switch h.table.Suspicion(now, c.Fingerprint) {
+	suspicion := h.table.Suspicion(now, c.Fingerprint)
+	if suspicion != fleet.SuspicionNone {
+		delete(h.proven, c.Fingerprint)
+	}
+	switch suspicion {
 	case fleet.SuspicionRefused:
 		return Refuse{}
 	case fleet.SuspicionAlone:
@@ -102,7 +106,6 @@
 func (h *Home) End(now time.Time, e Ended) {
 	if e.Died != nil {
 		h.table.Record(now, *e.Died, []ident.Fingerprint{e.Fingerprint})
-		delete(h.proven, e.Fingerprint)
 	}
 	if r, ok := h.open[e.Fingerprint][e.Attempt]; ok && e.Whole {
 		h.prove(now, e.Fingerprint, r)
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -108,15 +108,16 @@
 
 // Suspicion gives how far a body is suspected.
 func (t *Table) Suspicion(now time.Time, body ident.Fingerprint) fleet.Suspicion {
-	return grade(len(t.Known(now, body)))
+	t.expire(now)
+	return grade(t.bodies[body])
 }
 
 // Suspicions gives all bodies that are suspected, for the snapshot.
 func (t *Table) Suspicions(now time.Time) map[ident.Fingerprint]fleet.Suspicion {
 	t.expire(now)
 	all := make(map[ident.Fingerprint]fleet.Suspicion, len(t.bodies))
-	for body := range t.bodies {
-		if s := t.Suspicion(now, body); s != fleet.SuspicionNone {
+	for body, deaths := range t.bodies {
+		if s := grade(deaths); s != fleet.SuspicionNone {
 			all[body] = s
 		}
 	}
@@ -232,11 +233,17 @@
 	return boots
 }
 
-func grade(deaths int) fleet.Suspicion {
+func grade(deaths map[Boot]bool) fleet.Suspicion {
+	count := 0
+	for _, cleared := range deaths {
+		if !cleared {
+			count++
+		}
+	}
 	switch {
-	case deaths >= refusedDeaths:
+	case count >= refusedDeaths:
 		return fleet.SuspicionRefused
-	case deaths > 0:
+	case count > 0:
 		return fleet.SuspicionAlone
 	}
 	return fleet.SuspicionNone
