Split the steward's lease keeping into named steps, and unblock a queue

Cause: Steward.keep tested the same time twice and hid the condition of a clean hand-over; an unread lease object was asked for at every tick; the gate did not look again when a waiting ticket that blocked narrower ones was taken back. Ruled out: counting the first read as a write, which delayed the first take-over by a renewal (the hand-over test failed). Conclusion: behaviour else unchanged; route.Seed gives an attempt's bits.

--- a/internal/admit/gate.go
+++ b/internal/admit/gate.go
@@ -86,7 +86,7 @@
 	r, ok := g.running[id]
 	if !ok {
 		g.forget(id)
-		return nil
+		return g.drain(now, nil)
 	}
 	delete(g.running, id)
 	g.occupy(r.ticket, -1)
--- a/internal/admit/gate_test.go
+++ b/internal/admit/gate_test.go
@@ -41,6 +41,15 @@
 		Expect(g.SetCapacity(now, 2)).To(ConsistOf(admit.Admit{Ticket: 3}))
 	})
 
+	It("lets others in when the ticket that blocked them is gone", func() {
+		g, wide := gate(2), ticket(2, "a")
+		wide.Cost = 2
+		ask(g, ticket(1, "a"))
+		ask(g, wide)
+		ask(g, ticket(3, "a"))
+		Expect(g.Done(now, 2)).To(ConsistOf(admit.Admit{Ticket: 3}))
+	})
+
 	It("refuses at once, with the time to come back, what cannot be answered in time", func() {
 		g := gate(1)
 		late := ticket(1, "a")
--- a/internal/permit/steward.go
+++ b/internal/permit/steward.go
@@ -21,6 +21,7 @@
 	version plat.Version // of lease
 	lease   Lease
 	known   bool      // whether the object was ever read
+	reread  time.Time // when a first read was last asked for
 	seen    time.Time // when version was first seen here
 
 	writes map[string]write // unconfirmed, by nonce
@@ -148,38 +149,51 @@
 
 func (s *Steward) tick(now time.Time) []Action {
 	s.slots.lapse(now)
-	if !s.known {
-		return []Action{Reread{}}
-	}
-	if s.lease.Holder == s.self {
+	switch {
+	case s.known && s.lease.Holder == s.self:
 		return s.keep(now)
-	}
-	if s.stopping || now.Before(s.vacant()) || now.Before(s.last.Add(s.settings.Renew)) {
+	case !s.known:
+		return s.learn(now)
+	case s.stopping || !s.due(now) || now.Before(s.vacant()):
 		return nil
 	}
 	return []Action{s.write(now, Lease{Holder: s.self, Term: s.lease.Term + 1, Hold: s.settings.Hold()})}
 }
 
-// keep renews the own lease, or gives it up when stopping.
-func (s *Steward) keep(now time.Time) []Action {
-	if now.Before(s.last.Add(s.settings.Renew)) && !s.stopping {
+// learn asks for a first read, again after a while if none has come.
+func (s *Steward) learn(now time.Time) []Action {
+	if now.Before(s.reread.Add(s.settings.Renew)) {
 		return nil
 	}
+	s.reread = now
+	return []Action{Reread{}}
+}
+
+// keep renews the own lease, or gives it up when stopping.
+func (s *Steward) keep(now time.Time) []Action {
 	l := s.lease
-	if s.stopping && s.slots.empty() && s.Holds(now) && !now.Before(s.quiet) {
+	switch {
+	case s.stopping && s.idle(now):
 		l.Holder, l.Clean = "", true
 		s.until = time.Time{}
-		return []Action{s.write(now, l)}
-	}
-	if now.Before(s.last.Add(s.settings.Renew)) {
+	case !s.due(now):
 		return nil
-	}
-	if !s.Holds(now) {
+	case !s.Holds(now):
 		l.Term++ // orders under the lapsed term must not count any more
 	}
 	return []Action{s.write(now, l)}
 }
 
+// idle tells whether no permit can be in use, of this term or an earlier one.
+func (s *Steward) idle(now time.Time) bool {
+	return s.Holds(now) && !now.Before(s.quiet) && s.slots.empty()
+}
+
+// due tells whether the last write is long enough ago.
+func (s *Steward) due(now time.Time) bool {
+	return !now.Before(s.last.Add(s.settings.Renew))
+}
+
 // vacant is when this router may take the lease: at once if it was given up,
 // else when its holder has let it lapse, later for each place behind the first.
 func (s *Steward) vacant() time.Time {
--- a/internal/route/choice.go
+++ b/internal/route/choice.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/marigoldscale/marigoldscale/internal/fleet"
 	"github.com/marigoldscale/marigoldscale/pkg/ident"
 )
@@ -12,7 +14,7 @@
 type Request struct {
 	Release  ident.Release
 	Service  ident.ServiceID
-	Seed     uint64             // random bits, for example a hash of the attempt id
+	Seed     uint64             // random bits, see Seed
 	Prompt   ident.Tokens       // length of the prompt, estimated
 	Blocks   []uint64           // hashes of the prompt's prefix blocks, see Blocks
 	Exclude  []ident.EndpointID // endpoints that have already failed the request
@@ -20,6 +22,11 @@
 	Priority fleet.Priority
 }
 
+// Seed gives the random bits for an attempt.
+func Seed(attempt ident.AttemptID) uint64 {
+	return xxhash.Sum64String(string(attempt))
+}
+
 // Choice is the answer to a request for an endpoint: Send, NeedPermit, Wait or
 // None.
 type Choice interface{ choice() }
