Refuse a model without a name or with an empty version

Cause: "@" was taken for the model of no name, and "condor@" for condor without a version, so that a slip in the caller's text ran on another version than the one meant. Before: both taken; after: invalid_request, not run.

--- a/internal/front/decode.go
+++ b/internal/front/decode.go
@@ -58,7 +58,10 @@
 		return flow.Request{}, invalid(`field "messages" is missing or empty`)
 	}
 	prompt := chat.prompt()
-	model, version, _ := strings.Cut(chat.Model, "@")
+	model, version, versioned := strings.Cut(chat.Model, "@")
+	if model == "" || versioned && version == "" {
+		return flow.Request{}, invalid(`field "model" ` + strconv.Quote(chat.Model) + " is not of the form model or model@version")
+	}
 	return flow.Request{
 		Model:      ident.ModelID(model),
 		Version:    ident.VersionID(version),
