--- a/internal/flow/attempt.go
+++ b/internal/flow/attempt.go
@@ -87,7 +87,6 @@
 		Idempotent: f.request.Idempotent,
 		Attempts:   f.tried,
 		Open:       len(f.attempts),
-		Delivered:  f.delivered,
 		Deadline:   f.request.Deadline,
 		Seed:       uint64(f.request.Fingerprint) + uint64(f.made),
 	}
