Give a free slot whatever the mean service time

Cause: an idle gate refused a ticket whose deadline was shorter than the mean time of all others, and so a quick one before any had been seen; such a refusal also keeps the mean from being corrected. Ruled out: a smaller first mean, which only hides it. Tickets may carry their own estimate (Ticket.Service).

--- a/internal/admit/gate.go
+++ b/internal/admit/gate.go
@@ -63,7 +63,7 @@
 	if wait := m.bucket.take(now, t.Rate, t.Burst); wait > 0 {
 		return Refuse{Ticket: t.ID, Reason: ReasonRate, RetryAfter: wait}, nil
 	}
-	if g.queued == 0 && g.fits(t) && !g.late(now, 0, t) {
+	if g.queued == 0 && g.fits(t) && now.Before(t.Deadline) {
 		g.admit(now, m, t)
 		return Admit{Ticket: t.ID}, nil
 	}
@@ -117,17 +117,25 @@
 	return g.used+t.Cost <= g.slots
 }
 
+// expected is the ticket's own estimate, or the mean.
+func (g *Gate) expected(t Ticket) time.Duration {
+	if t.Service > 0 {
+		return t.Service
+	}
+	return g.service[t.Quick].mean
+}
+
 // late tells whether a ticket that starts after wait would miss its deadline,
-// if it takes the mean time.
+// if it takes the expected time.
 func (g *Gate) late(now time.Time, wait time.Duration, t Ticket) bool {
-	return now.Add(wait + g.service[t.Quick].mean).After(t.Deadline)
+	return now.Add(wait + g.expected(t)).After(t.Deadline)
 }
 
 // crowded tells whether a team's queue is too long for a ticket to be answered
 // in time nearly for certain. The first ticket of a team is let off: its team
 // asks for no more than its share.
 func (g *Gate) crowded(now time.Time, wait time.Duration, t Ticket) bool {
-	return now.Add(wait + g.service[t.Quick].padded()).After(t.Deadline)
+	return g.late(now, wait+g.service[t.Quick].headroom(), t)
 }
 
 func (g *Gate) occupy(t Ticket, sign float64) {
--- a/internal/admit/service.go
+++ b/internal/admit/service.go
@@ -22,8 +22,9 @@
 	return s
 }
 
-// padded is a time within which nearly all tickets end. A queue is kept so short
-// that they do: work that ends after its deadline is lost.
-func (s service) padded() time.Duration {
-	return s.mean + servicePad*s.deviation
+// headroom is time beyond the expected within which nearly all tickets end. A
+// queue is kept so short that they do: work that ends after its deadline is
+// lost.
+func (s service) headroom() time.Duration {
+	return servicePad * s.deviation
 }
--- a/internal/admit/ticket.go
+++ b/internal/admit/ticket.go
@@ -15,10 +15,11 @@
 	ID       TicketID
 	Team     ident.TeamID // is charged
 	Priority fleet.Priority
-	Weight   int     // the team's share under contention, at least 1
-	Rate     float64 // the team's requests a second, 0 for no limit
-	Burst    int     // the team's requests at once
-	Cost     float64 // in slots that it occupies, usually 1; 0 counts as 1
+	Weight   int           // the team's share under contention, at least 1
+	Rate     float64       // the team's requests a second, 0 for no limit
+	Burst    int           // the team's requests at once
+	Cost     float64       // in slots that it occupies, usually 1; 0 counts as 1
+	Service  time.Duration // expected from start to end; 0 takes the mean of what was seen
 	Deadline time.Time
 	Quick    bool // a quick answer, shed last
 }
