--- a/internal/load/answer.go
+++ b/internal/load/answer.go
@@ -40,6 +40,7 @@
 	Release string // model@version
 	Cost    ident.Micros
 	Token   string // X-Session-Token
+	Moved   string // X-Session-Moved, why the session changed its version
 	Text    string
 	Frames  []time.Time // arrival of each frame with text
 	Ended   time.Time
@@ -83,6 +84,7 @@
 	a.Status = response.StatusCode
 	a.Release = response.Header.Get("X-Release")
 	a.Token = response.Header.Get("X-Session-Token")
+	a.Moved = response.Header.Get("X-Session-Moved")
 	if response.StatusCode != http.StatusOK {
 		return readRefusal(response)
 	}
--- a/internal/scene/endpoint_test.go
+++ b/internal/scene/endpoint_test.go
@@ -21,6 +21,17 @@
 		w.expectBilledOnce(answer)
 	})
 
+	It("that crashes and was the only one is waited for within the deadline", func() {
+		w := newWorld(nil)
+		w.engines = w.engines[:1]
+		w.start()
+		stream := askLater(w.routers[0], "q1", "long history", 200)
+		w.runningEngine("q1").SetFaults(stand.EngineFaults{Crash: true})
+		answer := receive(stream)
+		expectWhole(answer)
+		w.expectBilledOnce(answer)
+	})
+
 	DescribeTable("that garbles its stream does not show in the answers", func(faults stand.EngineFaults) {
 		w := newWorld(nil).start()
 		for _, e := range w.engines {
@@ -90,6 +101,26 @@
 		expectWhole(ask(w.routers[1], "q1", "innocent", 5))
 	})
 
+	It("that a poisonous request crashes costs its neighbours no answer", func() {
+		w := newWorld(nil).start()
+		for _, e := range w.engines {
+			e.SetFaults(stand.EngineFaults{Poison: "venom"})
+		}
+		var neighbours []<-chan load.Answer
+		for i := range 9 {
+			neighbours = append(neighbours, askLater(w.routers[i%3], fmt.Sprintf("n%d", i), fmt.Sprint("innocent ", i), 200))
+		}
+		for i := range 9 {
+			w.runningEngine(fmt.Sprintf("n%d", i))
+		}
+		for i := range 6 {
+			ask(w.routers[i%3], fmt.Sprintf("p%d", i), "some venom", 5)
+		}
+		for _, n := range neighbours {
+			expectWhole(receive(n))
+		}
+	})
+
 	It("whose version is withdrawn gets nothing new, and its sessions move and hear of it", func() {
 		w := newWorld(nil)
 		w.write("rollout/marigoldscale.toml", "[rollout.condor]\nto = \"v4\"\nsteps = [{ share = 1.0, evidence = 100000 }]\n")
@@ -111,6 +142,9 @@
 			answer := sent(after)
 			expectWhole(answer)
 			Expect(answer.Release).To(Equal("condor@v3"))
+			if i == 0 {
+				Expect(answer.Moved).To(Equal("withdrawn"))
+			}
 		}
 		Expect(bad.Record().Runs).To(HaveLen(withdrawn))
 	})
--- a/internal/scene/platform_test.go
+++ b/internal/scene/platform_test.go
@@ -108,6 +108,21 @@
 		}
 	})
 
+	It("that put a zone back see work there again", func() {
+		w := newWorld(nil).start()
+		back := w.engines[2]
+		w.operate("zone", "out", back.zone)
+		for i := range 30 {
+			expectWhole(ask(w.routers[i%3], fmt.Sprintf("out-%d", i), fmt.Sprint("while out ", i), 5))
+		}
+		w.operate("zone", "in", back.zone)
+		before := len(back.Record().Runs)
+		for i := range 90 {
+			expectWhole(ask(w.routers[i%3], fmt.Sprintf("back-%d", i), fmt.Sprint("back again ", i), 5))
+		}
+		Expect(len(back.Record().Runs)).To(BeNumerically(">", before))
+	})
+
 	It("that publish at once both win with other files, and only one with the same file", func() {
 		w := newWorld(nil).start()
 		trees := []string{GinkgoT().TempDir(), GinkgoT().TempDir()}
--- a/internal/stand/engine.go
+++ b/internal/stand/engine.go
@@ -169,17 +169,7 @@
 
 func (e *Engine) newStream(now time.Time, request chatRequest) *stream {
 	prompt := request.prompt
-	faults := e.faults
-	if !faults.matches(prompt) {
-		faults = faults.withoutRunFaults()
-	}
-	if faults.Runs > 0 {
-		e.faults.Runs--
-		if e.faults.Runs == 0 {
-			e.faults.Stall = 0
-			e.faults.Cut = 0
-		}
-	}
+	faults := e.runFaults(prompt)
 	cached := e.cache.use(now, prompt.Blocks()) * BlockBytes / bytesPerToken
 	s := &stream{
 		request: request,
@@ -210,6 +200,22 @@
 	return s
 }
 
+// runFaults gives the faults of a new run, and counts it against their limit.
+func (e *Engine) runFaults(prompt Prompt) EngineFaults {
+	faults := e.faults
+	if !faults.matches(prompt) {
+		return faults.withoutRunFaults()
+	}
+	if faults.Runs > 0 {
+		e.faults.Runs--
+		if e.faults.Runs == 0 {
+			e.faults.Stall = 0
+			e.faults.Cut = 0
+		}
+	}
+	return faults
+}
+
 // finish records the end of a run, unless a crash has done so.
 func (e *Engine) finish(now time.Time, s *stream, outcome Outcome) {
 	e.mutex.Lock()
