Compress only segments that are worth it, and prove that large states split

Segments from 16 KiB on are still compressed.

Seen to fail with one line changed: segments four times as long; expansion cut short.

--- a/internal/shard/codec.go
+++ b/internal/shard/codec.go
@@ -16,6 +16,10 @@
 // object stays below the platform's limit even if nothing can be compressed.
 const segmentBytes = plat.MaxValue - 64<<10
 
+// compressFrom is the length from which a segment is compressed, in bytes. The
+// compressor's own memory outweighs the gain on shorter ones.
+const compressFrom = 16 << 10
+
 // segmentLimit bounds what a stored segment expands to, in bytes.
 const segmentLimit = 2 * plat.MaxValue
 
@@ -108,6 +112,9 @@
 }
 
 func compress(text []byte) ([]byte, error) {
+	if len(text) < compressFrom {
+		return text, nil
+	}
 	var b bytes.Buffer
 	w, err := gzip.NewWriterLevel(&b, gzip.BestSpeed)
 	if err != nil {
--- a/internal/shard/log_test.go
+++ b/internal/shard/log_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -144,4 +145,28 @@
 		}
 		Expect(newBench("c", p, plain).propose(1, claim(1, "x"))).To(Equal(shard.Granted{}))
 	})
+
+	It("splits a state that does not fit into one object", func() {
+		p := plat.NewMemory(nil)
+		b := newBench("b", p, plain)
+		random := rand.NewChaCha8([32]byte{1})
+		for i := range 60 {
+			o := outcome(i)
+			o.Body = make([]byte, shard.MaxBody)
+			_, err := random.Read(o.Body)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(b.propose(shard.Ticket(i), o)).To(Equal(shard.Durable{}))
+		}
+		objects, err := p.List(context.Background(), plat.ClassStatus, "journal/")
+		Expect(err).NotTo(HaveOccurred())
+		for _, o := range objects {
+			Expect(len(o.Value)).To(BeNumerically("<=", plat.MaxValue), string(o.Key))
+		}
+		c := newBench("c", p, plain)
+		for i := range 60 {
+			result := c.propose(shard.Ticket(i), claim(i, "x"))
+			Expect(result).To(BeAssignableToTypeOf(shard.Taken{}))
+			Expect(result.(shard.Taken).Outcome.Body).To(HaveLen(shard.MaxBody))
+		}
+	})
 })
