Settle proposals only when the state has changed

Each event walked the whole queue, so that a full queue during an outage cost its length for each new record.

--- a/internal/shard/log.go
+++ b/internal/shard/log.go
@@ -134,9 +134,8 @@
 	return l.phase == phaseIdle && l.check.stage == stageNone && len(l.queue) == 0
 }
 
-// advance answers what can be answered and makes the next call.
+// advance makes the next call.
 func (l *Log) advance(now time.Time) {
-	l.settle(false)
 	if l.phase != phaseIdle || len(l.queue) == 0 || now.Before(l.away) {
 		return
 	}
--- a/internal/shard/queue.go
+++ b/internal/shard/queue.go
@@ -30,9 +30,9 @@
 		l.reply(e.Ticket, Unavailable{After: l.settings.Retry, Full: true})
 		return
 	}
-	l.queue = append(l.queue, proposal{ticket: e.Ticket, record: e.Record, text: text, keep: e.Keep})
-	if now.Before(l.away) {
-		l.refuse(now)
+	p := proposal{ticket: e.Ticket, record: e.Record, text: text, keep: e.Keep}
+	if !now.Before(l.away) || l.refuseOne(now, &p) {
+		l.queue = append(l.queue, p)
 	}
 }
 
@@ -102,30 +102,35 @@
 
 // refuse answers all that can't wait for the platform to come back.
 func (l *Log) refuse(now time.Time) {
-	after := retryAfter(now, l.away)
 	rest := l.queue[:0:0]
 	for _, p := range l.queue {
-		result, decided := l.decide(p.record)
-		keep := p.keep && !isClaim(p.record)
-		switch {
-		case p.quiet:
-		case decided:
-			l.reply(p.ticket, result)
-			continue
-		case keep:
-			l.reply(p.ticket, Queued{})
-		default:
-			l.counts.Refused++
-			l.reply(p.ticket, Unavailable{After: after, Written: p.written || p.flying})
-		}
-		if keep {
-			p.quiet = true
+		if l.refuseOne(now, &p) {
 			rest = append(rest, p)
 		}
 	}
 	l.queue = rest
 }
 
+// refuseOne answers a proposal while the platform is away, and tells whether
+// its record stays in the queue.
+func (l *Log) refuseOne(now time.Time, p *proposal) bool {
+	if p.quiet {
+		return p.keep
+	}
+	if result, decided := l.decide(p.record); decided {
+		l.reply(p.ticket, result)
+		return false
+	}
+	if p.keep && !isClaim(p.record) {
+		p.quiet = true
+		l.reply(p.ticket, Queued{})
+		return true
+	}
+	l.counts.Refused++
+	l.reply(p.ticket, Unavailable{After: retryAfter(now, l.away), Written: p.written || p.flying})
+	return false
+}
+
 func (l *Log) decide(record Record) (Result, bool) {
 	if !l.loaded {
 		return nil, false
