Prove the callers' API with the official client and with bad input

Seen to fail first: X-Should-Retry without the truth about the run (the official client repeated), the model's grant not checked, readiness not checked, no read timeouts (body and header that do not end), an end marker after a broken stream, a booking without its key taken, invalid UTF-8 taken. Not seen to fail: the list of models, whose broken line did not compile.

--- /dev/null
+++ b/internal/front/front_test.go
@@ -0,0 +1,313 @@
+package front_test
+
+import (
+	"bufio"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/openai/openai-go"
+	"github.com/openai/openai-go/option"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/marigoldscale/marigoldscale/internal/engine"
+	"github.com/marigoldscale/marigoldscale/internal/fleet"
+	"github.com/marigoldscale/marigoldscale/internal/flow"
+	"github.com/marigoldscale/marigoldscale/internal/front"
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+// runner answers requests by a script, and keeps the last one.
+type runner struct {
+	run  func(ctx context.Context, r flow.Request, sink flow.Sink) flow.Result
+	seen chan flow.Request
+}
+
+func (r *runner) Run(ctx context.Context, request flow.Request, sink flow.Sink) flow.Result {
+	r.seen <- request
+	return r.run(ctx, request, sink)
+}
+
+func hash(key string) fleet.KeyHash {
+	sum := sha256.Sum256([]byte(key))
+	return fleet.KeyHash(hex.EncodeToString(sum[:]))
+}
+
+func snapshot() *fleet.Snapshot {
+	return &fleet.Snapshot{
+		Serving: true, Until: time.Now().Add(time.Hour),
+		Config: &fleet.Config{
+			Teams: map[ident.TeamID]*fleet.Team{
+				"ledger": {
+					ID: "ledger", Keys: []fleet.KeyHash{hash("key-l")}, Deadline: time.Minute,
+					Models: []fleet.ModelGrant{{Model: "condor", Versions: []ident.VersionID{"1"}}, {Model: "quena"}}, Services: []ident.ServiceID{"booking"},
+				},
+				"roster": {ID: "roster", Keys: []fleet.KeyHash{hash("key-r")}, Models: []fleet.ModelGrant{{Model: "puma"}}},
+			},
+			Models:   map[ident.ModelID]*fleet.Model{"condor": {ID: "condor"}, "quena": {ID: "quena"}, "puma": {ID: "puma"}},
+			Services: map[ident.ServiceID]*fleet.Service{"booking": {ID: "booking"}, "hours": {ID: "hours"}},
+		},
+	}
+}
+
+var _ = Describe("The callers' API", func() {
+	const (
+		chat  = `{"model":"condor","messages":[{"role":"user","content":"hola"}]}`
+		chats = "/v1/chat/completions"
+	)
+	var (
+		backend *runner
+		base    string
+		shown   *fleet.Snapshot
+		client  openai.Client
+		ctx     = context.Background()
+	)
+
+	BeforeEach(func() {
+		backend = &runner{seen: make(chan flow.Request, 16)}
+		backend.run = func(_ context.Context, r flow.Request, sink flow.Sink) flow.Result {
+			meta := flow.Meta{Release: ident.Release{Model: r.Model, Version: "1"}, Token: "sealed"}
+			_ = sink.Open(meta)
+			_ = sink.Text("Buenos ")
+			_ = sink.Text("días")
+			return flow.Result{
+				Meta: meta, Finish: "stop", Cost: 42, Usage: engine.Usage{Prompt: 3, Answer: 2},
+				Answer: engine.Answer{Status: 201, Type: "application/json", Body: []byte(`{"ok":true}`)},
+			}
+		}
+		shown = snapshot()
+		limits := front.Limits{Body: 4096, Header: 8192, Streams: 2, Idle: 500 * time.Millisecond}
+		server := front.New(backend, func() *fleet.Snapshot { return shown }, time.Now, limits, zap.NewNop()).Server()
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		go func() { _ = server.Serve(listener) }()
+		DeferCleanup(server.Close)
+		base = listener.Addr().String()
+		client = openai.NewClient(option.WithBaseURL("http://"+base+"/v1"), option.WithAPIKey("key-l"))
+	})
+
+	params := func(model string) openai.ChatCompletionNewParams {
+		return openai.ChatCompletionNewParams{Model: model, Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage("hola")}}
+	}
+	post := func(path, body string, headers ...string) *http.Response {
+		req, err := http.NewRequest(http.MethodPost, "http://"+base+path, strings.NewReader(body))
+		Expect(err).NotTo(HaveOccurred())
+		req.Header.Set("Authorization", "Bearer key-l")
+		req.Header.Set("Content-Type", "application/json")
+		for i := 0; i < len(headers); i += 2 {
+			req.Header.Set(headers[i], headers[i+1])
+		}
+		res, err := http.DefaultClient.Do(req)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(res.Body.Close)
+		return res
+	}
+	expectRefusal := func(res *http.Response, status int, code string, ran string) {
+		GinkgoHelper()
+		Expect(res.StatusCode).To(Equal(status))
+		var body struct {
+			Error struct{ Message, Type, Code, Ran string }
+		}
+		Expect(json.NewDecoder(res.Body).Decode(&body)).To(Succeed())
+		Expect(body.Error.Code).To(Equal(code))
+		Expect(body.Error.Ran).To(Equal(ran))
+		Expect(body.Error.Message).NotTo(BeEmpty())
+		Expect(res.Header.Get("X-Ran")).To(Equal(ran))
+	}
+
+	It("gives the official client a whole answer", Label("holds=answer"), func() {
+		answer, err := client.Chat.Completions.New(ctx, params("condor"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Choices).To(HaveLen(1))
+		Expect(answer.Choices[0].Message.Content).To(Equal("Buenos días"))
+		Expect(answer.Choices[0].FinishReason).To(Equal("stop"))
+		Expect(answer.Model).To(Equal("condor@1"))
+		Expect(answer.Usage.TotalTokens).To(BeEquivalentTo(5))
+	})
+
+	It("streams to the official client", Label("holds=answer"), func() {
+		stream := client.Chat.Completions.NewStreaming(ctx, params("condor"), option.WithHeader("X-Session-Id", "s"), option.WithHeader("X-Session-Token", "t"))
+		whole := openai.ChatCompletionAccumulator{}
+		for stream.Next() {
+			Expect(whole.AddChunk(stream.Current())).To(BeTrue())
+		}
+		Expect(stream.Err()).NotTo(HaveOccurred())
+		Expect(whole.Choices[0].Message.Content).To(Equal("Buenos días"))
+		Expect(whole.Choices[0].FinishReason).To(Equal("stop"))
+		r := <-backend.seen
+		Expect(r.Session).To(BeEquivalentTo("s"))
+		Expect(r.Token).To(Equal("t"))
+		Expect(r.Key.Team).To(BeEquivalentTo("ledger"))
+	})
+
+	It("lists only the team's models to the official client", Label("holds=team"), func() {
+		page, err := client.Models.List(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		var ids []string
+		for _, m := range page.Data {
+			ids = append(ids, m.ID)
+		}
+		Expect(ids).To(Equal([]string{"condor", "quena"}))
+	})
+
+	DescribeTable("lets the official client repeat by itself only what surely did not run",
+		func(refusal flow.Refusal, status, runs int) {
+			backend.run = func(context.Context, flow.Request, flow.Sink) flow.Result { return flow.Result{Refusal: &refusal} }
+			_, err := client.Chat.Completions.New(ctx, params("condor"), option.WithMaxRetries(1))
+			var failed *openai.Error
+			Expect(errors.As(err, &failed)).To(BeTrue())
+			Expect(failed.StatusCode).To(Equal(status))
+			Expect(failed.Code).To(Equal(string(refusal.Code)))
+			Expect(failed.Response.Header.Get("X-Ran")).To(Equal(string(refusal.Ran)))
+			Expect(backend.seen).To(HaveLen(runs))
+		},
+		Entry("overloaded", Label("fault=pool-out", "step=reply", "holds=refusal"), flow.Refusal{Code: flow.CodeOverloaded, Message: "m", Ran: flow.RanNo, After: time.Millisecond}, 503, 2),
+		Entry("platform away", Label("fault=platform-down", "step=reply", "holds=refusal"), flow.Refusal{Code: flow.CodePlatform, Message: "m", Ran: flow.RanUnknown, After: time.Millisecond}, 503, 1),
+		Entry("endpoint broke", Label("fault=endpoint-crashed", "step=reply", "holds=refusal"), flow.Refusal{Code: flow.CodeFailed, Message: "m", Ran: flow.RanUnknown, After: time.Millisecond}, 502, 1),
+		Entry("outcome unknown", Label("fault=router-killed", "step=reply", "holds=refusal"), flow.Refusal{Code: flow.CodeOutcome, Message: "m", Ran: flow.RanUnknown}, 409, 1),
+		Entry("crashes endpoints", Label("fault=poison", "step=reply"), flow.Refusal{Code: flow.CodeCrashes, Message: "m", Ran: flow.RanYes}, 422, 1),
+		Entry("version withdrawn", Label("fault=version-bad", "step=reply"), flow.Refusal{Code: flow.CodeWithdrawn, Message: "m", Ran: flow.RanNo}, 409, 1),
+	)
+
+	It("ends a broken stream with an error, and without the end marker", Label("fault=endpoint-crashed", "step=middle", "step=reply", "holds=answer"), func() {
+		backend.run = func(_ context.Context, _ flow.Request, sink flow.Sink) flow.Result {
+			_ = sink.Open(flow.Meta{})
+			_ = sink.Text("Bue")
+			return flow.Result{Refusal: &flow.Refusal{Code: flow.CodeFailed, Message: "broke", Ran: flow.RanYes}}
+		}
+		stream := client.Chat.Completions.NewStreaming(ctx, params("condor"))
+		for stream.Next() {
+		}
+		Expect(stream.Err()).To(HaveOccurred())
+		res := post(chats, strings.Replace(chat, "{", `{"stream":true,`, 1))
+		text, _ := io.ReadAll(res.Body)
+		Expect(string(text)).To(And(ContainSubstring(`"code":"endpoint_failed"`), Not(ContainSubstring("[DONE]"))))
+	})
+
+	DescribeTable("refuses bad input before it runs anything", Label("fault=caller-bad", "step=admit", "holds=refusal"),
+		func(status int, code, path, body string, headers ...string) {
+			expectRefusal(post(path, body, headers...), status, code, "no")
+			Expect(backend.seen).To(BeEmpty())
+		},
+		Entry("oversized body", 413, "too_large", chats, strings.Repeat(" ", 5000)+chat),
+		Entry("invalid JSON", 400, "invalid_request", chats, `{"model":`),
+		Entry("not an object", 400, "invalid_request", chats, `[]`),
+		Entry("wrong type", 400, "invalid_request", chats, `{"model":3,"messages":[{}]}`),
+		Entry("invalid UTF-8", 400, "invalid_request", chats, strings.Replace(chat, "hola", "\xff\xfe", 1)),
+		Entry("no body", 400, "invalid_request", chats, ""),
+		Entry("no model", 400, "invalid_request", chats, `{"messages":[{}]}`),
+		Entry("no messages", 400, "invalid_request", chats, `{"model":"condor"}`),
+		Entry("wrong content type", 400, "invalid_request", chats, chat, "Content-Type", "text/plain"),
+		Entry("unknown model", 404, "not_found", chats, strings.Replace(chat, "condor", "llama", 1)),
+		Entry("a version without a name", 400, "invalid_request", chats, strings.Replace(chat, "condor", "condor@", 1)),
+		Entry("another team's model", Label("holds=team"), 404, "not_found", chats, strings.Replace(chat, "condor", "puma", 1)),
+		Entry("a version not allowed", Label("holds=team"), 403, "not_allowed", chats, strings.Replace(chat, "condor", "condor@2", 1)),
+		Entry("no key", 401, "unauthorized", chats, chat, "Authorization", ""),
+		Entry("unknown key", 401, "unauthorized", chats, chat, "Authorization", "Bearer key-x"),
+		Entry("key without its scheme", 401, "unauthorized", chats, chat, "Authorization", "key-l"),
+		Entry("deadline in the past", 504, "deadline_exceeded", chats, chat, "X-Deadline-Ms", "0"),
+		Entry("deadline that is no number", 400, "invalid_request", chats, chat, "X-Deadline-Ms", "soon"),
+		Entry("oversized id", 400, "invalid_request", chats, chat, "X-Request-Id", strings.Repeat("x", 129)),
+		Entry("slash in an id", 400, "invalid_request", chats, chat, "X-Session-Id", "a/b"),
+		Entry("invalid UTF-8 in an id", 400, "invalid_request", chats, chat, "X-Class", "\xff"),
+		Entry("booking without a key", Label("holds=once"), 400, "invalid_request", "/v1/services/booking/new", `{}`),
+		Entry("booking with an empty key", Label("holds=once"), 400, "invalid_request", "/v1/services/booking/new", `{}`, "Idempotency-Key", ""),
+		Entry("another team's service", Label("holds=team"), 404, "not_found", "/v1/services/hours", `{}`, "Idempotency-Key", "k"),
+		Entry("unknown service", 404, "not_found", "/v1/services/nope", `{}`, "Idempotency-Key", "k"),
+		Entry("path that climbs", 400, "invalid_request", "/v1/services/booking/..%2f..%2fadmin", `{}`, "Idempotency-Key", "k"),
+		Entry("oversized booking", 413, "too_large", "/v1/services/booking", strings.Repeat(" ", 5000), "Idempotency-Key", "k"),
+		Entry("unknown route", 404, "not_found", "/v1/embeddings", `{}`),
+	)
+
+	It("makes the caller's key the id of a booking, and passes its answer through", Label("holds=once"), func() {
+		res := post("/v1/services/booking/new", `{}`, "Idempotency-Key", "k")
+		Expect(res.StatusCode).To(Equal(201))
+		Expect(io.ReadAll(res.Body)).To(BeEquivalentTo(`{"ok":true}`))
+		r := <-backend.seen
+		Expect(r.Key).To(Equal(ident.RequestKey{Team: "ledger", Request: "call:booking:k"}))
+		Expect(r.Idempotent).To(BeFalse())
+	})
+
+	DescribeTable("refuses while it must not serve",
+		func(change func()) {
+			change()
+			res := post(chats, chat)
+			expectRefusal(res, 503, "not_ready", "no")
+			Expect(res.Header.Get("Retry-After")).NotTo(BeEmpty())
+		},
+		Entry("without a configuration", Label("fault=router-replaced", "step=admit", "holds=config"), func() { shown = nil }),
+		Entry("when cut off", Label("fault=two", "step=admit", "holds=config"), func() { shown.Serving = false }),
+		Entry("just thawed", Label("fault=router-frozen", "step=admit", "holds=config"), func() { shown.Until = time.Now() }),
+	)
+
+	It("bounds the requests in progress", Label("fault=pool-out", "step=admit", "holds=refusal"), func() {
+		release := make(chan struct{})
+		backend.run = func(context.Context, flow.Request, flow.Sink) flow.Result {
+			<-release
+			return flow.Result{}
+		}
+		for range 2 {
+			go func() {
+				req, _ := http.NewRequest(http.MethodPost, "http://"+base+chats, strings.NewReader(chat))
+				req.Header = http.Header{"Authorization": {"Bearer key-l"}, "Content-Type": {"application/json"}}
+				if res, err := http.DefaultClient.Do(req); err == nil {
+					res.Body.Close()
+				}
+			}()
+			Eventually(backend.seen).Should(Receive())
+		}
+		expectRefusal(post(chats, chat), 503, "overloaded", "no")
+		close(release)
+	})
+
+	It("tells the runner when the client is gone", Label("fault=caller-bad", "step=middle"), func() {
+		gone := make(chan struct{})
+		backend.run = func(ctx context.Context, _ flow.Request, sink flow.Sink) flow.Result {
+			_ = sink.Open(flow.Meta{})
+			_ = sink.Text("Bue")
+			<-ctx.Done()
+			close(gone)
+			return flow.Result{Refusal: &flow.Refusal{Code: flow.CodeGone, Ran: flow.RanYes}}
+		}
+		ctx, leave := context.WithCancel(ctx)
+		stream := client.Chat.Completions.NewStreaming(ctx, params("condor"))
+		Expect(stream.Next()).To(BeTrue())
+		leave()
+		Eventually(gone).Should(BeClosed())
+	})
+
+	DescribeTable("drops a sender who is too slow or sends too much of a header", Label("fault=caller-bad", "step=admit"),
+		func(sent string) {
+			conn, err := net.Dial("tcp", base)
+			Expect(err).NotTo(HaveOccurred())
+			defer conn.Close()
+			_, _ = fmt.Fprint(conn, sent)
+			Expect(conn.SetReadDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+			answer, err := io.ReadAll(bufio.NewReader(conn))
+			var timeout net.Error
+			Expect(errors.As(err, &timeout) && timeout.Timeout()).To(BeFalse(), "the connection stays open")
+			Expect(string(answer)).NotTo(ContainSubstring("200 OK"))
+			Expect(backend.seen).To(BeEmpty())
+		},
+		Entry("header that does not end", "POST "+chats+" HTTP/1.1\r\nHost: x\r\n"),
+		Entry("body that does not end", "POST "+chats+" HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-l\r\nContent-Type: application/json\r\nContent-Length: 99\r\n\r\n{"),
+		Entry("huge header", "POST "+chats+" HTTP/1.1\r\nHost: x\r\nX-Session-Token: "+strings.Repeat("x", 64<<10)+"\r\n\r\n"),
+	)
+
+	It("survives a panic in the runner", Label("fault=caller-bad", "step=reply", "holds=refusal"), func() {
+		backend.run = func(context.Context, flow.Request, flow.Sink) flow.Result { panic("bad body") }
+		expectRefusal(post(chats, chat), 502, "endpoint_failed", "unknown")
+		expectRefusal(post(chats, chat), 502, "endpoint_failed", "unknown")
+		expectRefusal(post(chats, chat), 502, "endpoint_failed", "unknown")
+	})
+})
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -308,6 +308,7 @@
 		b := newBench()
 		finish := make(chan struct{})
 		b.engine.calls = append(b.engine.calls, func(ctx context.Context, run engine.Run) (engine.Answer, error) {
+			defer GinkgoRecover()
 			<-finish
 			Expect(ctx.Err()).NotTo(HaveOccurred())
 			return answer(ctx, run)
