Tell retries of earlier attempts; let a hedge's loser be cancelled

Ruled out: a cut, since no answer was broken. It was the slower attempt of a hedge. The check now takes a cancelled run only if another run of the same request was whole; callers' answers are checked as before.

--- a/internal/flow/attempt.go
+++ b/internal/flow/attempt.go
@@ -93,6 +93,9 @@
 	if f.assembler != nil {
 		facts.Received = f.assembler.Next()
 	}
+	if f.broken > 0 {
+		facts.Earlier = retry.RanUnknown
+	}
 	if a := f.attempts[id]; a != nil {
 		facts.Started = a.started
 		facts.Expected = a.expected
--- a/internal/scene/caller_test.go
+++ b/internal/scene/caller_test.go
@@ -191,3 +191,16 @@
 func sent(arrival load.Arrival) load.Answer {
 	return load.Send(context.Background(), client, arrival)
 }
+
+// wholeRuns counts the whole runs of a request on all engines.
+func (w *world) wholeRuns(request ident.RequestID) int {
+	runs := 0
+	for _, e := range w.engines {
+		for _, run := range e.Record().Runs {
+			if run.Request == request && run.Outcome == stand.OutcomeWhole {
+				runs++
+			}
+		}
+	}
+	return runs
+}
--- a/internal/scene/platform_test.go
+++ b/internal/scene/platform_test.go
@@ -104,6 +104,11 @@
 		}
 		for _, run := range out.Record().Runs {
 			Expect(run.Started.Sub(asked)).To(BeNumerically("<", zoneLimit))
+			// A hedge's slower attempt is cancelled once the other one answers.
+			if run.Outcome == stand.OutcomeCancelled {
+				Expect(w.wholeRuns(run.Request)).To(BeNumerically(">=", 1))
+				continue
+			}
 			Expect(run.Outcome).To(Equal(stand.OutcomeWhole))
 		}
 	})
