Let a suspect run beside others, as the endpoint's only suspect

Weighed: relaxing by time alone (innocents together are refused), giving each router its own endpoints (some have none). Change: the zone's steward grants one suspect at a time for an endpoint, warm or cold; neighbours that are no suspects run beside it. Where no steward grants, an idle endpoint serves as before.

--- a/internal/flow/attempt.go
+++ b/internal/flow/attempt.go
@@ -17,6 +17,7 @@
 		return f.forgo(e)
 	}
 	f.hedging = false
+	f.lacking = time.Time{}
 	f.stage = stageRun
 	id := f.nextAttempt()
 	f.made++
--- a/internal/flow/event.go
+++ b/internal/flow/event.go
@@ -62,6 +62,7 @@
 // Barren means that no endpoint serves the release or service at all now.
 type Barren struct {
 	Withdrawn bool
+	Back      bool // one may be back soon
 	After     time.Duration
 }
 
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -14,6 +14,10 @@
 const (
 	// window is the number of frames held ahead of a missing one.
 	window = 64
+	// lackPause is the time between looks for an endpoint that may be back, and
+	// lackPatience bounds them all.
+	lackPause    = 250 * time.Millisecond
+	lackPatience = 5 * time.Second
 	// comeBack is the pause after which a refused caller is asked to return
 	// when nothing better is known.
 	comeBack = time.Second
@@ -38,11 +42,12 @@
 	tried     int // attempts of this rung
 	exclude   []ident.EndpointID
 	alone     bool
-	hedging   bool     // a Place for a hedge is open
-	held      []string // pieces of an answer that is not yet passed on
-	empty     bool     // no text was received
-	open      bool     // pieces were passed on
-	delivered int      // frames passed on
+	lacking   time.Time // since when no endpoint could be had, zero if one could
+	hedging   bool      // a Place for a hedge is open
+	held      []string  // pieces of an answer that is not yet passed on
+	empty     bool      // no text was received
+	open      bool      // pieces were passed on
+	delivered int       // frames passed on
 	usage     engine.Usage
 	finish    string
 	claimed   bool
@@ -132,7 +137,7 @@
 	case Full:
 		return f.full(now, e)
 	case Barren:
-		return f.barren(e)
+		return f.barren(now, e)
 	case Judged:
 		return f.judged(e)
 	case Settled:
@@ -288,7 +293,7 @@
 	return f.refuse(Refusal{Code: CodeOverloaded, Message: message, Ran: f.ran, After: max(e.After, comeBack)})
 }
 
-func (f *Flow) barren(e Barren) []Action {
+func (f *Flow) barren(now time.Time, e Barren) []Action {
 	if f.hedging && f.stage == stageRun {
 		f.hedging = false
 		return nil
@@ -301,6 +306,13 @@
 		message := "version " + f.meta.Release.String() + " was withdrawn"
 		return f.refuse(Refusal{Code: CodeWithdrawn, Message: message, Ran: f.ran, After: e.After})
 	}
+	if f.lacking.IsZero() {
+		f.lacking = now
+	}
+	if e.Back && now.Sub(f.lacking) < lackPatience && now.Add(lackPause).Before(f.request.Deadline) {
+		f.exclude = nil // the endpoint that failed may be the only one
+		return []Action{Wake{Timer: TimerPlace, After: lackPause}}
+	}
 	message := "no endpoint can take the request now"
 	return f.refuse(Refusal{Code: CodeCapacity, Message: message, Ran: f.ran, After: max(e.After, comeBack)})
 }
--- a/internal/permit/event.go
+++ b/internal/permit/event.go
@@ -42,6 +42,9 @@
 	Router   ident.RouterID
 	Attempt  ident.AttemptID
 	Endpoint ident.EndpointID
+	// Alone asks to be the endpoint's only suspect of crashing endpoints, be it
+	// warm or cold. A cold one must have a free slot as well.
+	Alone bool
 }
 
 // Released says that an attempt has ended on the endpoint, or was never sent.
--- a/internal/permit/slots.go
+++ b/internal/permit/slots.go
@@ -22,6 +22,14 @@
 	counted bool      // whether stray is known
 	stray   int       // at most this many requests run without a permit
 	permits map[ident.AttemptID]time.Time
+	suspect suspect
+}
+
+// suspect is the run of a body that is suspected of crashing endpoints. There
+// is one at a time, so that a crash tells which body did it.
+type suspect struct {
+	attempt ident.AttemptID
+	until   time.Time
 }
 
 // reset begins a term, in which all that runs already is stray.
@@ -29,6 +37,7 @@
 	s.since = since
 	for id, x := range s.endpoints {
 		clear(x.permits)
+		x.suspect = suspect{}
 		s.endpoints[id] = x.recount(since)
 	}
 }
@@ -57,6 +66,9 @@
 // take occupies a slot, or gives the reason why not.
 func (s *slots) take(now time.Time, a Asked) Reason {
 	s.lapse(now)
+	if a.Alone {
+		return s.takeAlone(now, a)
+	}
 	x := s.endpoints[a.Endpoint]
 	if x.phase != fleet.PhaseCold || x.permits == nil {
 		return ReasonPhase
@@ -73,14 +85,45 @@
 	return ""
 }
 
+// takeAlone makes an attempt the endpoint's only suspect.
+func (s *slots) takeAlone(now time.Time, a Asked) Reason {
+	x, known := s.endpoints[a.Endpoint]
+	switch {
+	case !known || x.phase == fleet.PhaseDown:
+		return ReasonPhase
+	case x.suspect.attempt != a.Attempt && now.Before(x.suspect.until):
+		return ReasonFull
+	case x.phase == fleet.PhaseCold:
+		a.Alone = false
+		if reason := s.take(now, a); reason != "" {
+			return reason
+		}
+		x = s.endpoints[a.Endpoint]
+	}
+	x.suspect = suspect{attempt: a.Attempt, until: now.Add(s.settings.Hold())}
+	s.endpoints[a.Endpoint] = x
+	return ""
+}
+
 func (s *slots) release(r Released) {
-	delete(s.endpoints[r.Endpoint].permits, r.Attempt)
+	x, known := s.endpoints[r.Endpoint]
+	if !known {
+		return
+	}
+	delete(x.permits, r.Attempt)
+	if x.suspect.attempt == r.Attempt {
+		x.suspect = suspect{}
+	}
+	s.endpoints[r.Endpoint] = x
 }
 
 // lapse ends permits that are over. Their holder may be paused and its request
 // still running, so what runs is counted anew.
 func (s *slots) lapse(now time.Time) {
 	for id, x := range s.endpoints {
+		if !now.Before(x.suspect.until) {
+			x.suspect = suspect{}
+		}
 		for attempt, until := range x.permits {
 			if !now.Before(until) {
 				delete(x.permits, attempt)
@@ -93,7 +136,7 @@
 
 func (s *slots) empty() bool {
 	for _, x := range s.endpoints {
-		if len(x.permits) > 0 {
+		if len(x.permits) > 0 || x.suspect.attempt != "" {
 			return false
 		}
 	}
--- a/internal/route/load.go
+++ b/internal/route/load.go
@@ -8,7 +8,7 @@
 
 const (
 	factorGain    = 0.2              // weight of a new observation in the correction factor
-	factorFloor   = 0.25             // smallest correction factor
+	factorFloor   = 1.0              // smallest correction factor: what is used is not preferred to what is not
 	factorCeiling = 16.0             // largest correction factor
 	factorHalf    = 10 * time.Second // half-life of a correction without new observations
 	limitFloor    = 1.0              // attempts that may always be in flight
--- a/internal/router/peer.go
+++ b/internal/router/peer.go
@@ -47,6 +47,7 @@
 		Router:   ident.RouterID(request.Router),
 		Attempt:  ident.AttemptID(request.Attempt),
 		Endpoint: ident.EndpointID(request.Endpoint),
+		Alone:    request.Alone,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/router/permits.go
+++ b/internal/router/permits.go
@@ -36,6 +36,7 @@
 
 type heldPermit struct {
 	endpoint *fleet.Endpoint
+	alone    bool
 	ending   chan struct{} // closed when the attempt must be cancelled
 	ended    bool
 }
@@ -45,13 +46,14 @@
 }
 
 // Ask implements serve.Permits.
-func (p *permits) Ask(ctx context.Context, endpoint *fleet.Endpoint, attempt ident.AttemptID) error {
+func (p *permits) Ask(ctx context.Context, endpoint *fleet.Endpoint, attempt ident.AttemptID, alone bool) error {
 	asked := p.holder.Ask(time.Now(), attempt, endpoint.Spec.ID)
+	asked.Alone = alone
 	answer, err := p.question(ctx, endpoint.Spec.Zone, asked)
 	if err == nil && answer.Grant != nil && p.holder.Granted(time.Now(), *answer.Grant) {
 		p.lock.Lock()
 		defer p.lock.Unlock()
-		p.held[attempt] = &heldPermit{endpoint: endpoint, ending: make(chan struct{})}
+		p.held[attempt] = &heldPermit{endpoint: endpoint, alone: alone, ending: make(chan struct{})}
 		return nil
 	}
 	p.Release(endpoint, attempt)
@@ -59,7 +61,11 @@
 		return err
 	}
 	if answer.Deny != nil {
-		return &serve.Denied{Reason: string(answer.Deny.Reason), After: answer.Deny.RetryAfter}
+		return &serve.Denied{
+			Reason: string(answer.Deny.Reason),
+			After:  answer.Deny.RetryAfter,
+			Nobody: answer.Deny.Reason == permit.ReasonSteward || answer.Deny.Reason == permit.ReasonWait,
+		}
 	}
 	return &serve.Denied{Reason: "permit came too late"}
 }
@@ -83,6 +89,7 @@
 			Endpoint: string(asked.Endpoint),
 			Router:   string(asked.Router),
 			Attempt:  string(asked.Attempt),
+			Alone:    asked.Alone,
 		})
 	})
 	if err != nil {
@@ -197,6 +204,7 @@
 		return
 	}
 	asked := p.holder.Ask(time.Now(), attempt, held.endpoint.Spec.ID)
+	asked.Alone = held.alone
 	answer, err := p.question(ctx, held.endpoint.Spec.Zone, asked)
 	if err == nil && answer.Grant != nil {
 		p.holder.Granted(time.Now(), *answer.Grant)
--- a/internal/serve/bench_test.go
+++ b/internal/serve/bench_test.go
@@ -271,7 +271,7 @@
 	released chan ident.AttemptID
 }
 
-func (f *fakePermits) Ask(context.Context, *fleet.Endpoint, ident.AttemptID) error {
+func (f *fakePermits) Ask(context.Context, *fleet.Endpoint, ident.AttemptID, bool) error {
 	if f.ask != nil {
 		return f.ask()
 	}
--- a/internal/serve/place.go
+++ b/internal/serve/place.go
@@ -23,6 +23,8 @@
 	permitTimeout = time.Second
 	// permitPause is when to ask again after a permit was denied.
 	permitPause = 100 * time.Millisecond
+	// aloneCandidates is the number of endpoints tried for a suspect.
+	aloneCandidates = 3
 	// viewPause is when to look again for a view that is not too old.
 	viewPause = 50 * time.Millisecond
 	// barrenPause is when to come back if no endpoint serves a release.
@@ -33,6 +35,7 @@
 type Denied struct {
 	Reason string
 	After  time.Duration
+	Nobody bool // no steward grants anything now
 }
 
 // Error gives the reason.
@@ -72,6 +75,9 @@
 	if r.request.Service == "" && !r.view.Allowed(a.Release) {
 		return []flow.Event{flow.Barren{Withdrawn: true}}
 	}
+	if a.Alone {
+		return r.placeAlone(ctx, a)
+	}
 	switch c := r.choose(now, a).(type) {
 	case route.Send:
 		return r.found(ctx, a, flow.Placed{Endpoint: c.Endpoint, Expected: c.Expected})
@@ -83,11 +89,23 @@
 		return nil
 	case route.Wait:
 		return []flow.Event{flow.Full{After: c.RetryAfter}}
+	case route.None:
+		return []flow.Event{flow.Barren{After: barrenPause, Back: mayReturn(c)}}
 	default:
 		return []flow.Event{flow.Barren{After: barrenPause}}
 	}
 }
 
+// mayReturn tells whether an endpoint that cannot serve now may do so soon.
+func mayReturn(none route.None) bool {
+	for _, v := range none.Reasons {
+		if v.Reason == route.ReasonDown || v.Reason == route.ReasonExcluded {
+			return true
+		}
+	}
+	return false
+}
+
 func (r *run) choose(now time.Time, a flow.Place) route.Choice {
 	return route.Choose(now, r.view.Snapshot, route.Request{
 		Release:  a.Release,
@@ -123,9 +141,9 @@
 	instead.Exclude = exclude
 	other, warm := r.choose(r.server.Now(), instead).(route.Send)
 	r.ask(func() flow.Event {
-		after, ok := r.askPermit(ctx, c.Endpoint, a.Attempt)
+		after, err := r.askPermit(ctx, c.Endpoint, a)
 		switch {
-		case ok:
+		case err == nil:
 			return flow.Placed{Endpoint: c.Endpoint, Cold: true}
 		case warm:
 			return flow.Placed{Endpoint: other.Endpoint, Expected: other.Expected}
@@ -135,18 +153,70 @@
 	})
 }
 
+// placeAlone finds an endpoint on which the attempt is the only suspect of
+// crashes. Where nobody grants that, an endpoint with nothing else serves.
+func (r *run) placeAlone(ctx context.Context, a flow.Place) []flow.Event {
+	var candidates []*fleet.Endpoint
+	wanted := a
+	wanted.Alone = false
+	for range aloneCandidates {
+		choice := r.choose(r.server.Now(), wanted)
+		endpoint := chosen(choice)
+		if endpoint == nil {
+			break
+		}
+		candidates = append(candidates, endpoint)
+		wanted.Exclude = append(slices.Clone(wanted.Exclude), endpoint.Spec.ID)
+	}
+	idle, free := r.choose(r.server.Now(), a).(route.Send)
+	if none, barren := r.choose(r.server.Now(), a).(route.None); barren && len(candidates) == 0 {
+		return []flow.Event{flow.Barren{After: barrenPause, Back: mayReturn(none)}}
+	}
+	r.ask(func() flow.Event {
+		for _, endpoint := range candidates {
+			_, err := r.askPermit(ctx, endpoint, a)
+			if err == nil {
+				return flow.Placed{Endpoint: endpoint, Cold: true}
+			}
+			if nobody(err) && free {
+				return flow.Placed{Endpoint: idle.Endpoint}
+			}
+		}
+		return flow.Full{After: permitPause}
+	})
+	return nil
+}
+
+// chosen gives the endpoint that a choice names, or nil.
+func chosen(choice route.Choice) *fleet.Endpoint {
+	switch c := choice.(type) {
+	case route.Send:
+		return c.Endpoint
+	case route.NeedPermit:
+		return c.Endpoint
+	default:
+		return nil
+	}
+}
+
 // askPermit asks for a slot, and else tells when to ask again.
-func (r *run) askPermit(ctx context.Context, endpoint *fleet.Endpoint, attempt ident.AttemptID) (time.Duration, bool) {
+func (r *run) askPermit(ctx context.Context, endpoint *fleet.Endpoint, a flow.Place) (time.Duration, error) {
 	ctx, span := r.server.Tracer.Start(ctx, "permit", attribute.String("endpoint", string(endpoint.Spec.ID)))
 	defer span.End()
 	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
 	defer cancel()
-	err := r.server.Permits.Ask(ctx, endpoint, attempt)
+	err := r.server.Permits.Ask(ctx, endpoint, a.Attempt, a.Alone)
 	var denied *Denied
 	if errors.As(err, &denied) {
-		return max(denied.After, permitPause), false
+		return max(denied.After, permitPause), err
 	}
-	return permitPause, err == nil
+	return permitPause, err
+}
+
+// nobody tells whether no steward grants anything now.
+func nobody(err error) bool {
+	var denied *Denied
+	return !errors.As(err, &denied) || denied.Nobody
 }
 
 func (r *run) forgo(a flow.Forgo) {
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -35,9 +35,10 @@
 
 // Permits gives slots on cold endpoints.
 type Permits interface {
-	// Ask asks the steward of the endpoint's zone for a slot, and fails with
-	// *Denied if there is none now.
-	Ask(ctx context.Context, endpoint *fleet.Endpoint, attempt ident.AttemptID) error
+	// Ask asks the steward of the endpoint's zone for a slot, or for being the
+	// endpoint's only suspect of crashes, and fails with *Denied if that cannot
+	// be now.
+	Ask(ctx context.Context, endpoint *fleet.Endpoint, attempt ident.AttemptID, alone bool) error
 	// Check tells, right before sending, whether the attempt may still be sent.
 	Check(now time.Time, attempt ident.AttemptID) bool
 	// Ending gives a channel that is closed when the attempt must be cancelled.
