--- a/internal/stand/engine.go
+++ b/internal/stand/engine.go
@@ -169,7 +169,7 @@
 
 func (e *Engine) newStream(now time.Time, request chatRequest) *stream {
 	prompt := request.prompt
-	faults := e.runFaults(prompt)
+	faults := e.runFaults(request)
 	cached := e.cache.use(now, prompt.Blocks()) * BlockBytes / bytesPerToken
 	s := &stream{
 		request: request,
@@ -201,9 +201,9 @@
 }
 
 // runFaults gives the faults of a new run, and counts it against their limit.
-func (e *Engine) runFaults(prompt Prompt) EngineFaults {
+func (e *Engine) runFaults(request chatRequest) EngineFaults {
 	faults := e.faults
-	if !faults.matches(prompt) {
+	if !faults.matches(request) {
 		return faults.withoutRunFaults()
 	}
 	if faults.Runs > 0 {
--- a/internal/stand/engine_test.go
+++ b/internal/stand/engine_test.go
@@ -197,6 +197,20 @@
 		Entry("low quality", stand.EngineFaults{Quality: 0.5}, http.StatusOK, true),
 	)
 
+	It("cuts only fresh runs when told so", func() {
+		engine.SetFaults(stand.EngineFaults{Cut: 3, Fresh: true})
+		response, err := post(context.Background(), body("x", 8))
+		Expect(err).NotTo(HaveOccurred())
+		first, done := read(response)
+		Expect(done).To(BeFalse())
+		Expect(first).To(HaveLen(3))
+		response, err = post(context.Background(), body("x", 8), "X-Resume", "3")
+		Expect(err).NotTo(HaveOccurred())
+		rest, done := read(response)
+		Expect(done).To(BeTrue())
+		Expect(rest).To(HaveLen(6))
+	})
+
 	DescribeTable("says that it did not run", func(faults stand.EngineFaults, body string, status int, code string) {
 		engine.SetFaults(faults)
 		response, err := post(context.Background(), body)
--- a/internal/stand/enginefaults.go
+++ b/internal/stand/enginefaults.go
@@ -6,6 +6,7 @@
 // engine. Shares are spread evenly over the runs or frames concerned.
 type EngineFaults struct {
 	Match   string  `json:"match"`   // limits the faults of runs to prompts with this text
+	Fresh   bool    `json:"fresh"`   // limits the faults of runs to those that resume nothing
 	Runs    int     `json:"runs"`    // limits Stall and Cut to that many next runs, 0 for no limit
 	Slow    float64 `json:"slow"`    // factor on the time of each step
 	Errors  float64 `json:"errors"`  // share of runs that fail with status 500
@@ -26,9 +27,12 @@
 	Cold    bool    `json:"cold"`    // turns cold once, now
 }
 
-// matches tells whether the faults of runs apply to a prompt.
-func (f EngineFaults) matches(p Prompt) bool {
-	return f.Match == "" || strings.Contains(p.Text, f.Match)
+// matches tells whether the faults of runs apply to a request.
+func (f EngineFaults) matches(request chatRequest) bool {
+	if f.Fresh && request.resume > 0 {
+		return false
+	}
+	return f.Match == "" || strings.Contains(request.prompt.Text, f.Match)
 }
 
 // poisons tells whether a prompt crashes the engine.
