Prove the drivers of endpoints and of the platform over real connections

Seen to fail first: the canonical Idempotency-Key together with GetBody (net/http then sent a call twice), not-sent said without looking at the connection, a refusal believed without ran=no, a stream taken as whole without its end marker, a cancelled run taken for a broken one; lost answers taken as without effect, unreachable taken as uncertain, an announcement without its content type (never listed), a conflict taken as uncertain.

--- /dev/null
+++ b/internal/engine/http_test.go
@@ -0,0 +1,211 @@
+package engine_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/marigoldscale/marigoldscale/internal/engine"
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+// accept answers the requests on each connection: the first of a connection
+// with ok, the next by closing after it was read, so that a client with an open
+// connection sees it break. It counts the requests read whole.
+func accept(listener net.Listener, requests *atomic.Int64) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer conn.Close()
+			reader := bufio.NewReader(conn)
+			for n := 0; ; n++ {
+				req, err := http.ReadRequest(reader)
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, req.Body)
+				requests.Add(1)
+				if n > 0 {
+					return
+				}
+				fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+			}
+		}()
+	}
+}
+
+func emitNone(engine.Frame) error { return nil }
+
+var _ = Describe("The driver of endpoints", func() {
+	var (
+		driver *engine.HTTP
+		ctx    = context.Background()
+	)
+	BeforeEach(func() { driver = engine.New(&http.Client{Transport: &http.Transport{}}) })
+
+	run := func(address string) engine.Run {
+		return engine.Run{
+			Address: address, Attempt: "r1.0", Request: "q1", Body: []byte(`{"model":"condor@1"}`),
+			Path: "new", Key: "k", Deadline: time.Now().Add(time.Minute), Resume: 3, Priority: 2, Trace: "00-1-2-01",
+		}
+	}
+	serve := func(handler http.HandlerFunc) string {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body) // else the server does not see that a client is gone
+			handler(w, r)
+		}))
+		DeferCleanup(server.Close)
+		return strings.TrimPrefix(server.URL, "http://")
+	}
+
+	It("never sends a request a second time by itself", Label("fault=endpoint-cut", "fault=endpoint-oneway", "fault=endpoint-crashed", "step=dispatch", "holds=once"), func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(listener.Close)
+		var requests atomic.Int64
+		go accept(listener, &requests)
+		r := run(listener.Addr().String())
+		for n := range int64(10) {
+			_, err = driver.Call(ctx, r)
+			Expect(err).NotTo(HaveOccurred())
+			_, err = driver.Call(ctx, r)
+			Expect(err).To(MatchError(engine.ErrBroken))
+			Expect(err).NotTo(MatchError(engine.ErrNotSent))
+			Expect(requests.Load()).To(Equal(2*n + 2))
+		}
+	})
+
+	DescribeTable("says that nothing was sent only if nothing has left", func(attempt func(r engine.Run) error) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		address := listener.Addr().String()
+		Expect(listener.Close()).To(Succeed())
+		Expect(attempt(run(address))).To(MatchError(engine.ErrNotSent))
+
+		stuck := serve(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+		started := run(stuck)
+		ctx, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+		defer cancel()
+		_, err = driver.Call(ctx, started)
+		Expect(err).NotTo(MatchError(engine.ErrNotSent))
+	},
+		Entry("call", Label("fault=endpoint-cut", "fault=endpoint-slow", "step=dispatch", "holds=refusal"), func(r engine.Run) error { _, err := driver.Call(ctx, r); return err }),
+		Entry("stream", Label("fault=endpoint-cut", "step=dispatch", "holds=refusal"), func(r engine.Run) error { return driver.Stream(ctx, r, emitNone) }),
+	)
+
+	DescribeTable("believes a refusal only if the endpoint says that it ran nothing",
+		func(status int, body string, want error, callStatus int) {
+			address := serve(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(status)
+				fmt.Fprint(w, body)
+			})
+			Expect(driver.Stream(ctx, run(address), emitNone)).To(MatchError(want))
+			answer, err := driver.Call(ctx, run(address))
+			if callStatus == 0 {
+				Expect(err).To(MatchError(want))
+				return
+			}
+			Expect(err).NotTo(HaveOccurred())
+			Expect(answer.Status).To(Equal(callStatus))
+			Expect(string(answer.Body)).To(Equal(body))
+		},
+		Entry("overloaded", Label("fault=endpoint-lies", "step=dispatch", "holds=refusal"), 503, `{"error":{"code":"overloaded","ran":"no"}}`, engine.ErrOverloaded, 0),
+		Entry("rejected", 400, `{"error":{"code":"rejected","ran":"no"}}`, engine.ErrRejected, 0),
+		Entry("leaving", Label("step=stop", "fault=list-lags", "holds=leaving"), 410, `{"error":{"code":"leaving","ran":"no"}}`, engine.ErrLeaving, 0),
+		Entry("another reason", 507, `{"error":{"code":"memory","ran":"no"}}`, engine.ErrNotRun, 0),
+		Entry("overloaded, but it may have run", Label("fault=endpoint-lies", "step=dispatch", "holds=refusal", "holds=once"), 503, `{"error":{"code":"overloaded","ran":"unknown"}}`, engine.ErrBroken, 503),
+		Entry("plain 503", Label("holds=refusal", "holds=once"), 503, `busy`, engine.ErrBroken, 503),
+		Entry("a service's own 409", 409, `{"error":"taken"}`, engine.ErrBroken, 409),
+		Entry("a service's own 500", 500, `{}`, engine.ErrBroken, 500),
+	)
+
+	It("tells the endpoint which attempt it is", func() {
+		got := make(chan http.Header, 1)
+		address := serve(func(w http.ResponseWriter, r *http.Request) {
+			got <- r.Header
+			fmt.Fprint(w, `{}`)
+		})
+		_, err := driver.Call(ctx, run(address))
+		Expect(err).NotTo(HaveOccurred())
+		header := <-got
+		for name, value := range map[string]string{
+			"X-Request-Id": "q1", "X-Attempt-Id": "r1.0", "X-Priority": "2", "X-Resume": "3",
+			"Traceparent": "00-1-2-01", "Idempotency-Key": "k", "Content-Type": "application/json",
+		} {
+			Expect(header.Get(name)).To(Equal(value), name)
+		}
+	})
+
+	frame := func(n int, rest string) string {
+		return fmt.Sprintf("data: {\"id\":\"q1\",\"attempt\":\"r1.0\",\"sequence\":%d,\"choices\":[{\"delta\":{\"content\":\"t%d \"}%s}]}\n\n", n, n, rest)
+	}
+	final := frame(1, `,"finish_reason":"stop"`) + "data: [DONE]\n\n"
+
+	DescribeTable("hands frames on as they come, and knows a whole stream from a broken one",
+		func(sent string, cut bool, frames int, want error) {
+			address := serve(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Type", "text/event-stream")
+				fmt.Fprint(w, sent)
+				_ = http.NewResponseController(w).Flush()
+				if cut {
+					panic(http.ErrAbortHandler)
+				}
+			})
+			var got []engine.Frame
+			err := driver.Stream(ctx, run(address), func(f engine.Frame) error {
+				got = append(got, f)
+				return nil
+			})
+			Expect(got).To(HaveLen(frames))
+			if want == nil {
+				Expect(err).NotTo(HaveOccurred())
+				Expect(got[frames-1].Final).To(BeTrue())
+				return
+			}
+			Expect(err).To(MatchError(want))
+		},
+		Entry("whole", frame(0, "")+final, true, 2, nil),
+		Entry("whole, with comments and doubled frames", Label("fault=frames-doubled", "step=middle"), ": hi\n\n"+frame(0, "")+frame(0, "")+final, true, 3, nil),
+		Entry("cut after a frame", Label("fault=endpoint-crashed", "fault=endpoint-cut", "step=middle", "holds=answer"), frame(0, ""), true, 1, engine.ErrBroken),
+		Entry("cut before the first", Label("fault=endpoint-crashed", "fault=endpoint-cut", "step=first", "holds=answer"), "", true, 0, engine.ErrBroken),
+		Entry("cut within the final frame", Label("fault=endpoint-crashed", "fault=endpoint-cut", "step=final", "holds=answer"), frame(0, "")+frame(1, "")[:30], true, 1, engine.ErrBroken),
+		Entry("ended without its end marker", Label("fault=endpoint-lies", "step=final", "holds=answer"), frame(0, "")+frame(1, ""), false, 2, engine.ErrBroken),
+		Entry("not JSON", Label("fault=endpoint-lies", "step=middle"), frame(0, "")+"data: {oops\n\n", true, 1, engine.ErrBroken),
+	)
+
+	It("cancels the run on the endpoint when its context ends", Label("fault=caller-bad", "step=middle"), func() {
+		gone := make(chan struct{})
+		address := serve(func(w http.ResponseWriter, r *http.Request) {
+			fmt.Fprint(w, frame(0, ""))
+			_ = http.NewResponseController(w).Flush()
+			<-r.Context().Done()
+			close(gone)
+		})
+		ctx, cancel := context.WithCancel(ctx)
+		err := driver.Stream(ctx, run(address), func(engine.Frame) error {
+			cancel()
+			return nil
+		})
+		Expect(err).To(MatchError(context.Canceled))
+		Expect(err).NotTo(MatchError(engine.ErrBroken), "a cancelled run is no endpoint's death")
+		Eventually(gone).Should(BeClosed())
+	})
+
+	It("fails an order with an old fence", Label("fault=lease-lapsed", "step=handover"), func() {
+		address := serve(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusConflict) })
+		Expect(driver.Order(ctx, address, engine.Order{Kind: "load", Release: ident.Release{Model: "m", Version: "1"}})).To(MatchError(engine.ErrFenced))
+	})
+})
--- /dev/null
+++ b/internal/plat/client_test.go
@@ -0,0 +1,139 @@
+package plat_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/marigoldscale/marigoldscale/internal/plat"
+	"github.com/marigoldscale/marigoldscale/internal/stand"
+)
+
+var _ = Describe("The platform's client", func() {
+	const key plat.Key = "config/a b/ñ"
+	var (
+		store  *stand.Store
+		server *httptest.Server
+		client *plat.Client
+		calls  atomic.Int64
+		ctx    = context.Background()
+	)
+
+	BeforeEach(func() {
+		store = stand.NewStore(time.Now)
+		platform := stand.NewPlatform(store)
+		calls.Store(0)
+		server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			calls.Add(1)
+			platform.ServeHTTP(w, r)
+		}))
+		DeferCleanup(func() { server.Close() })
+		rate := plat.Rate{Calls: 10000, Burst: 1000}
+		retry := plat.Retry{Attempts: 3, Pause: time.Millisecond, Timeout: 200 * time.Millisecond}
+		client = plat.NewClient(server.URL, server.Client(), plat.NewBudget(rate, rate, time.Now), retry, metrics.NewRegistry())
+	})
+
+	put := func(value string, expect plat.Version) (plat.Version, error) {
+		return client.Put(ctx, plat.ClassConfig, key, []byte(value), expect)
+	}
+	get := func() (plat.Object, error) { return client.Get(ctx, plat.ClassConfig, key) }
+
+	It("writes, reads, lists, watches and deletes", func() {
+		_, err := get()
+		Expect(err).To(MatchError(plat.ErrAbsent))
+		first, err := put("one", 0)
+		Expect(err).NotTo(HaveOccurred())
+		second, err := put("two", first)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(get()).To(Equal(plat.Object{Key: key, Version: second, Value: []byte("two")}))
+		Expect(client.List(ctx, plat.ClassConfig, "config/")).To(ConsistOf(HaveField("Key", key)))
+		changes, upto, err := client.Watch(ctx, plat.ClassConfig, "config/", first, time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(changes).To(ConsistOf(HaveField("Object.Value", []byte("two"))))
+		Expect(upto).To(BeNumerically(">=", second))
+		Expect(client.Delete(ctx, plat.ClassConfig, key, first)).To(MatchError(plat.ErrConflict))
+		Expect(client.Delete(ctx, plat.ClassConfig, key, second)).To(Succeed())
+		_, err = get()
+		Expect(err).To(MatchError(plat.ErrAbsent))
+	})
+
+	It("lets one of two racing writes win", Label("fault=operators-race", "step=publish", "holds=config"), func() {
+		version, err := put("one", 0)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = put("left", version)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = put("right", version)
+		Expect(err).To(MatchError(plat.ErrConflict))
+		Expect(get()).To(HaveField("Value", []byte("left")))
+	})
+
+	It("finds an instance listed once it has announced itself, and again as leaving", Label("holds=leaving"), func() {
+		instance := plat.Instance{ID: "r1", Zone: "lima-sur", Address: "127.0.0.1:9200"}
+		Expect(client.Announce(ctx, plat.ClassStatus, instance)).To(Succeed())
+		Expect(client.Instances(ctx, plat.ClassStatus)).To(ConsistOf(instance))
+		instance.Leaving = true
+		Expect(client.Announce(ctx, plat.ClassStatus, instance)).To(Succeed())
+		Expect(client.Instances(ctx, plat.ClassStatus)).To(ConsistOf(instance))
+	})
+
+	It("does not know the outcome of a write whose answer is lost, and writes once", Label("fault=platform-lost", "fault=platform-oneway", "step=publish", "step=claim", "step=handover"), func() {
+		store.SetFaults(stand.Faults{Lose: 1})
+		_, err := put("one", 0)
+		Expect(err).To(MatchError(plat.ErrUncertain))
+		Expect(calls.Load()).To(BeEquivalentTo(1))
+		Expect(get()).To(HaveField("Value", []byte("one")))
+		version, _ := get()
+		store.SetFaults(stand.Faults{Lose: 1})
+		Expect(client.Delete(ctx, plat.ClassConfig, key, version.Version)).To(MatchError(plat.ErrUncertain))
+		store.SetFaults(stand.Faults{Lose: 1})
+		Expect(client.Announce(ctx, plat.ClassStatus, plat.Instance{ID: "r1"})).To(MatchError(plat.ErrUncertain))
+	})
+
+	It("knows that a write had no effect while the platform is down, and tries reads again", Label("fault=platform-down", "step=publish", "step=claim"), func() {
+		store.SetFaults(stand.Faults{Down: true})
+		_, err := put("one", 0)
+		Expect(err).To(MatchError(plat.ErrUnavailable))
+		Expect(calls.Load()).To(BeEquivalentTo(1))
+		_, err = get()
+		Expect(err).To(MatchError(plat.ErrUnavailable))
+		Expect(calls.Load()).To(BeEquivalentTo(4))
+		store.SetFaults(stand.Faults{})
+		_, err = get()
+		Expect(err).To(MatchError(plat.ErrAbsent))
+	})
+
+	It("does not know the outcome of a write to a platform that is too slow", Label("fault=platform-slow", "step=publish", "step=claim"), func() {
+		store.SetFaults(stand.Faults{Slow: stand.Delay(time.Second)})
+		_, err := put("one", 0)
+		Expect(err).To(MatchError(plat.ErrUncertain))
+	})
+
+	It("knows that a write had no effect when it reached nobody", Label("fault=platform-cut", "step=publish", "step=claim"), func() {
+		server.Close()
+		_, err := put("one", 0)
+		Expect(err).To(MatchError(plat.ErrUnavailable))
+		Expect(err).NotTo(MatchError(plat.ErrUncertain))
+	})
+
+	It("makes no call beyond its budget, claims before all else", Label("fault=platform-slow", "step=claim"), func() {
+		rate := plat.Rate{Calls: 0.001, Burst: 4}
+		client = plat.NewClient(server.URL, server.Client(), plat.NewBudget(rate, rate, time.Now), plat.DefaultRetry(), metrics.NewRegistry())
+		ctx, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+		defer cancel()
+		failed := map[plat.Class]int{}
+		for _, class := range []plat.Class{plat.ClassStatus, plat.ClassStatus, plat.ClassStatus, plat.ClassClaim, plat.ClassClaim, plat.ClassClaim} {
+			if _, err := client.List(ctx, class, "x"); err != nil {
+				Expect(err).To(MatchError(plat.ErrUnavailable))
+				failed[class]++
+			}
+		}
+		Expect(failed[plat.ClassClaim]).To(BeNumerically("<", failed[plat.ClassStatus]+2))
+		Expect(calls.Load()).To(BeEquivalentTo(4))
+	})
+})
