--- a/internal/admit/gate.go
+++ b/internal/admit/gate.go
@@ -13,7 +13,6 @@
 	maxQueued     = 4096                   // tickets over all teams
 	maxTeamQueued = 1024                   // tickets of one team
 	firstService  = time.Second            // assumed before anything has ended
-	serviceGain   = 0.05                   // weight of a new service time in the mean
 	quickShare    = 0.75                   // of the slots, in which quick tickets go first
 	minRetryAfter = 100 * time.Millisecond // shortest time to come back
 	maxRetryAfter = 30 * time.Second       // longest time to come back
@@ -28,7 +27,7 @@
 	quick   float64 // of used, by quick tickets
 	virtual float64 // virtual time: slots granted over the weights of those who wait
 	queued  int
-	service map[bool]time.Duration // mean service time, by Ticket.Quick
+	service map[bool]service // by Ticket.Quick
 	running map[TicketID]run
 	teams   map[ident.TeamID]*team
 }
@@ -41,7 +40,7 @@
 // New gives a gate without capacity; see SetCapacity.
 func New() *Gate {
 	return &Gate{
-		service: map[bool]time.Duration{false: firstService, true: firstService},
+		service: map[bool]service{false: {mean: firstService}, true: {mean: firstService}},
 		running: make(map[TicketID]run),
 		teams:   make(map[ident.TeamID]*team),
 	}
@@ -64,12 +63,13 @@
 	if wait := m.bucket.take(now, t.Rate, t.Burst); wait > 0 {
 		return Refuse{Ticket: t.ID, Reason: ReasonRate, RetryAfter: wait}, nil
 	}
-	if g.queued == 0 && g.fits(t) && !g.late(now, 0, t) {
+	if g.queued == 0 && g.fits(t) && now.Before(t.Deadline) {
 		g.admit(now, m, t)
 		return Admit{Ticket: t.ID}, nil
 	}
-	wait := g.wait(m, m.ahead(t))
-	if g.late(now, wait, t) {
+	ahead := m.ahead(t)
+	wait := g.wait(m, ahead)
+	if g.late(now, wait, t) || ahead > 0 && g.crowded(now, wait, t) {
 		return g.refuse(m, t, ReasonDeadline), nil
 	}
 	if m.len() >= maxTeamQueued && !m.evicts(t) {
@@ -86,16 +86,14 @@
 	r, ok := g.running[id]
 	if !ok {
 		g.forget(id)
-		return nil
+		return g.drain(now, nil)
 	}
 	delete(g.running, id)
 	g.occupy(r.ticket, -1)
 	took := now.Sub(r.started)
-	mean := g.service[r.ticket.Quick]
-	if m := g.teams[r.ticket.Team]; m != nil && mean > 0 {
-		m.settle(r.ticket.Cost * (took.Seconds()/mean.Seconds() - 1))
-	}
-	g.service[r.ticket.Quick] = mean + time.Duration(float64(took-mean)*serviceGain)
+	estimate := g.service[r.ticket.Quick]
+	g.teams[r.ticket.Team].settle(r.ticket.Cost * (took.Seconds()/estimate.mean.Seconds() - 1))
+	g.service[r.ticket.Quick] = estimate.add(took)
 	return g.drain(now, nil)
 }
 
@@ -119,8 +117,25 @@
 	return g.used+t.Cost <= g.slots
 }
 
+// expected is the ticket's own estimate, or the mean.
+func (g *Gate) expected(t Ticket) time.Duration {
+	if t.Service > 0 {
+		return t.Service
+	}
+	return g.service[t.Quick].mean
+}
+
+// late tells whether a ticket that starts after wait would miss its deadline,
+// if it takes the expected time.
 func (g *Gate) late(now time.Time, wait time.Duration, t Ticket) bool {
-	return now.Add(wait + g.service[t.Quick]).After(t.Deadline)
+	return now.Add(wait + g.expected(t)).After(t.Deadline)
+}
+
+// crowded tells whether a team's queue is too long for a ticket to be answered
+// in time nearly for certain. The first ticket of a team is let off: its team
+// asks for no more than its share.
+func (g *Gate) crowded(now time.Time, wait time.Duration, t Ticket) bool {
+	return g.late(now, wait+g.service[t.Quick].headroom(), t)
 }
 
 func (g *Gate) occupy(t Ticket, sign float64) {
--- a/internal/ctrl/member.go
+++ b/internal/ctrl/member.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/marigoldscale/marigoldscale/internal/fleet"
+	"github.com/marigoldscale/marigoldscale/internal/gossip"
 	"github.com/marigoldscale/marigoldscale/internal/plat"
 	"github.com/marigoldscale/marigoldscale/internal/roll"
 	"github.com/marigoldscale/marigoldscale/pkg/ident"
@@ -74,12 +75,12 @@
 // age forgets routers that are long dead, and folds their evidence.
 func (c *Control) age(now time.Time) {
 	for id, r := range c.routers {
-		if r.lived && !r.live(now) {
+		if r.lived && !c.live(now, r) {
 			c.relays++ // its last counters may not have reached every peer
 		}
-		r.lived = r.live(now)
+		r.lived = c.live(now, r)
 		_, listed := c.listed[id]
-		if r.live(now) || now.Sub(later(r.heard, r.met)) < forgetAfter || listed {
+		if c.live(now, r) || now.Sub(later(r.heard, r.met)) < forgetAfter || listed {
 			continue
 		}
 		delete(c.routers, id)
@@ -102,59 +103,78 @@
 	}
 	c.evidence.Trim(now, c.config, states, func(s roll.Source) bool {
 		r, ok := c.routers[s.Router]
-		return s == c.source || ok && r.live(now)
+		return s == c.source || ok && c.live(now, r)
 	})
 }
 
 // live tells whether a router is taken to be alive.
-func (r *router) live(now time.Time) bool {
-	return !r.heard.IsZero() && now.Sub(r.heard) <= heardFor
+func (c *Control) live(now time.Time, r *router) bool {
+	return !r.heard.IsZero() && now.Sub(r.heard) <= c.silence()
 }
 
-// peers gives the peers worth a heartbeat, sorted by id: live ones, and those
-// that are listed but silent.
-func (c *Control) peers() []*router {
-	peers := make([]*router, 0, len(c.routers))
-	for _, r := range c.routers {
-		peers = append(peers, r)
+// silence gives how long a router may go unheard of. Word of it takes longer
+// where not all pairs of routers talk.
+func (c *Control) silence() time.Duration {
+	if c.allPairs() {
+		return heardFor
 	}
-	sort.Slice(peers, func(i, j int) bool { return peers[i].router.ID < peers[j].router.ID })
-	return peers
+	return gossip.Silence(len(c.routers) + 1)
+}
+
+// allPairs tells whether this router talks to every other.
+func (c *Control) allPairs() bool {
+	return gossip.AllPairs(len(c.routers) + 1)
 }
 
-// liveRouters gives the live routers with this one, sorted by id.
-func (c *Control) liveRouters(now time.Time) []fleet.Router {
-	live := []fleet.Router{c.self}
+// roster is the membership as seen at one time, worked out once for all that is
+// decided then.
+type roster struct {
+	at       time.Time
+	peers    []*router      // all known, sorted by id
+	live     []fleet.Router // the live ones with this router, sorted by id
+	stewards map[ident.ZoneID]ident.RouterID
+	answered int // peers that are in reach both ways
+}
+
+func (c *Control) roster(now time.Time) *roster {
+	if c.members != nil && c.members.at.Equal(now) {
+		return c.members
+	}
+	m := &roster{at: now, stewards: map[ident.ZoneID]ident.RouterID{}}
 	for _, r := range c.routers {
-		if r.live(now) {
-			live = append(live, r.router)
+		m.peers = append(m.peers, r)
+	}
+	sort.Slice(m.peers, func(i, j int) bool { return m.peers[i].router.ID < m.peers[j].router.ID })
+	m.live = append(m.live, c.self)
+	for _, r := range m.peers {
+		if !c.live(now, r) {
+			continue
+		}
+		// A peer that is only heard cannot pass on what this router lacks.
+		if now.Sub(r.answered) <= heardFor {
+			m.answered++
+		}
+		m.live = append(m.live, r.router)
+		for _, z := range r.stewards {
+			m.stewards[z] = r.router.ID
 		}
 	}
-	sort.Slice(live, func(i, j int) bool { return live[i].ID < live[j].ID })
-	return live
+	sort.Slice(m.live, func(i, j int) bool { return m.live[i].ID < m.live[j].ID })
+	c.members = m
+	return m
 }
 
 // relay tells whether this router reads the platform for its zone: it is the
 // first of the zone's live routers.
 func (c *Control) relay(now time.Time) bool {
 	for _, r := range c.routers {
-		if r.router.Zone == c.self.Zone && r.router.ID < c.self.ID && r.live(now) && !r.router.Leaving && r.platform {
+		if r.router.Zone == c.self.Zone && r.router.ID < c.self.ID && c.live(now, r) && !r.router.Leaving && r.platform {
 			return false
 		}
 	}
 	return true
 }
 
-// answered gives the newest time from which any peer was in reach both ways. A
-// peer that is only heard cannot pass on what this router lacks.
-func (c *Control) answered() time.Time {
-	var newest time.Time
-	for _, r := range c.routers {
-		newest = later(newest, r.answered)
-	}
-	return newest
-}
-
 // synced tells whether the evidence of every live peer has been merged.
 func (c *Control) synced(now time.Time) bool {
 	if now.Sub(c.started) < heardFor {
--- a/internal/ctrl/rollout.go
+++ b/internal/ctrl/rollout.go
@@ -99,7 +99,7 @@
 func (c *Control) decides(now time.Time, model ident.ModelID) bool {
 	var best ident.RouterID
 	var top uint64
-	for _, r := range c.liveRouters(now) {
+	for _, r := range c.roster(now).live {
 		if r.Leaving && r.ID != c.self.ID {
 			continue
 		}
@@ -126,7 +126,7 @@
 // who else there is, it has none.
 func (c *Control) quota(now time.Time, rollout *fleet.Rollout, state fleet.RolloutState) roll.Quota {
 	synced := c.synced(now)
-	q := c.evidence.Share(c.source, rollout, state, c.liveRouters(now), synced)
+	q := c.evidence.Share(c.source, rollout, state, c.roster(now).live, synced)
 	if !synced {
 		q.Left = 0
 	}
--- a/internal/ctrl/view.go
+++ b/internal/ctrl/view.go
@@ -78,6 +78,7 @@
 		return nil
 	}
 	c.changed = false
+	c.lastView = now
 	v := &View{
 		Snapshot: &fleet.Snapshot{
 			Self:      c.self,
@@ -89,7 +90,7 @@
 			Endpoints: make(map[ident.EndpointID]*fleet.Endpoint, len(c.endpoints)),
 			Rollouts:  make(map[ident.ModelID]fleet.RolloutState, len(c.rollouts)),
 			Withdrawn: make(map[ident.Release]fleet.Withdrawal, len(c.withdrawn)),
-			Routers:   c.liveRouters(now),
+			Routers:   c.roster(now).live,
 			Poison:    c.deaths.Suspicions(now),
 		},
 		Quotas:    map[ident.ModelID]*Quota{},
@@ -122,7 +123,7 @@
 		q := c.quota(now, rollout, state.State)
 		v.Quotas[model] = NewQuota(q.Limited, q.Left)
 	}
-	for _, zone := range c.zones() {
+	for _, zone := range c.zones {
 		v.Stewards[zone] = c.stewardOf(now, zone)
 	}
 }
@@ -139,7 +140,7 @@
 		Stopping:   c.stopping,
 		Seen:       now,
 	}}
-	for _, r := range c.peers() {
+	for _, r := range c.roster(now).peers {
 		if r.heard.IsZero() {
 			continue
 		}
@@ -149,7 +150,7 @@
 			Admin:      r.router.Admin,
 			Generation: r.generation,
 			Confirmed:  r.confirmed,
-			Serving:    r.serving && r.live(now),
+			Serving:    r.serving && c.live(now, r),
 			Stopping:   r.stopping,
 			Seen:       r.heard,
 		})
@@ -162,8 +163,8 @@
 		v.Withdrawn[release] = w
 		v.stored[release] = c.stored[release]
 		v.spread[release] = append(v.spread[release], c.self.ID)
-		for _, r := range c.peers() {
-			if r.live(now) && r.told[release] {
+		for _, r := range c.roster(now).peers {
+			if c.live(now, r) && r.told[release] {
 				v.spread[release] = append(v.spread[release], r.router.ID)
 			}
 		}
@@ -177,18 +178,24 @@
 	return reply, reply.Durable && len(reply.Routers) >= len(v.Routers)
 }
 
+// show gives the endpoint for a view; an endpoint that did not change is shared
+// with the view before.
 func (e *endpoint) show() *fleet.Endpoint {
 	phase := e.phase.Phase()
 	if !e.match {
 		phase = fleet.PhaseDown
 	}
-	return &fleet.Endpoint{
+	next := fleet.Endpoint{
 		Spec:     e.spec,
 		Phase:    phase,
 		Report:   e.report,
 		Reported: e.reported,
 		Leaving:  e.leaving || e.listedLeaving,
 	}
+	if e.shown == nil || *e.shown != next {
+		e.shown = &next
+	}
+	return e.shown
 }
 
 // serving tells whether this router may take new requests: it has a
@@ -201,7 +208,7 @@
 	if !c.behind.IsZero() && now.Sub(c.behind) > behindFor {
 		return false
 	}
-	return gossip.Fresh(now, c.confirmed, c.answered(), len(c.routers)) != gossip.StandingAlone
+	return gossip.Fresh(now, c.reachOf(now)) != gossip.StandingAlone
 }
 
 // RouterIDs gives the live routers that are not leaving, this one included,
@@ -229,3 +236,19 @@
 func (c *Control) Head() plat.Head {
 	return c.head
 }
+
+// reachOf gives what this router can reach.
+func (c *Control) reachOf(now time.Time) gossip.Reach {
+	m := c.roster(now)
+	others := 0
+	for _, r := range c.routers {
+		if !r.router.Leaving {
+			others++
+		}
+	}
+	live := m.answered
+	if !c.allPairs() && m.answered > 0 {
+		live = len(m.live) - 1 // most are known by what others say of them
+	}
+	return gossip.Reach{Confirmed: c.confirmed, Live: live, Listed: others}
+}
--- a/internal/flow/attempt.go
+++ b/internal/flow/attempt.go
@@ -87,13 +87,15 @@
 		Idempotent: f.request.Idempotent,
 		Attempts:   f.tried,
 		Open:       len(f.attempts),
-		Delivered:  f.delivered,
 		Deadline:   f.request.Deadline,
 		Seed:       uint64(f.request.Fingerprint) + uint64(f.made),
 	}
 	if f.assembler != nil {
 		facts.Received = f.assembler.Next()
 	}
+	if f.broken > 0 {
+		facts.Earlier = retry.RanUnknown
+	}
 	if a := f.attempts[id]; a != nil {
 		facts.Started = a.started
 		facts.Expected = a.expected
--- a/internal/load/answer.go
+++ b/internal/load/answer.go
@@ -40,6 +40,7 @@
 	Release string // model@version
 	Cost    ident.Micros
 	Token   string // X-Session-Token
+	Moved   string // X-Session-Moved, why the session changed its version
 	Text    string
 	Frames  []time.Time // arrival of each frame with text
 	Ended   time.Time
@@ -83,6 +84,7 @@
 	a.Status = response.StatusCode
 	a.Release = response.Header.Get("X-Release")
 	a.Token = response.Header.Get("X-Session-Token")
+	a.Moved = response.Header.Get("X-Session-Moved")
 	if response.StatusCode != http.StatusOK {
 		return readRefusal(response)
 	}
@@ -104,7 +106,7 @@
 	for events.Next() {
 		data := bytes.TrimSpace(events.Event().Data)
 		if string(data) == "[DONE]" && finished {
-			return nil
+			return drain(response.Body)
 		}
 		var f frame
 		if err := json.Unmarshal(data, &f); err != nil {
@@ -124,6 +126,14 @@
 	return fmt.Errorf("answer to %q ended early", a.Arrival.Request)
 }
 
+// drain reads what follows the end mark, without which there are no trailers.
+func drain(body io.Reader) error {
+	if _, err := io.Copy(io.Discard, io.LimitReader(body, maxErrorBody)); err != nil {
+		return fmt.Errorf("reading end of answer: %w", err)
+	}
+	return nil
+}
+
 func readRefusal(response *http.Response) (Outcome, error) {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxErrorBody))
 	if err != nil {
--- a/internal/plat/client_test.go
+++ b/internal/plat/client_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -10,130 +12,169 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/rcrowley/go-metrics"
+	"pgregory.net/rapid"
 
 	"github.com/marigoldscale/marigoldscale/internal/plat"
-	"github.com/marigoldscale/marigoldscale/internal/stand"
 )
 
-var _ = Describe("The platform's client", func() {
-	const key plat.Key = "config/a b/ñ"
-	var (
-		store  *stand.Store
-		server *httptest.Server
-		client *plat.Client
-		calls  atomic.Int64
-		ctx    = context.Background()
-	)
+var plenty = plat.Rate{Calls: 1e6, Burst: 1e6}
 
-	BeforeEach(func() {
-		store = stand.NewStore(time.Now)
-		platform := stand.NewPlatform(store)
-		calls.Store(0)
-		server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			calls.Add(1)
-			platform.ServeHTTP(w, r)
-		}))
-		DeferCleanup(func() { server.Close() })
-		rate := plat.Rate{Calls: 10000, Burst: 1000}
-		retry := plat.Retry{Attempts: 3, Pause: time.Millisecond, Timeout: 200 * time.Millisecond}
-		client = plat.NewClient(server.URL, server.Client(), plat.NewBudget(rate, rate, time.Now), retry, metrics.NewRegistry())
-	})
+func client(base string, registry metrics.Registry) *plat.Client {
+	retry := plat.Retry{Attempts: 3, Pause: time.Millisecond, Timeout: 100 * time.Millisecond}
+	return plat.NewClient(base, &http.Client{}, plat.NewBudget(plenty, plenty, time.Now), retry, registry)
+}
 
-	put := func(value string, expect plat.Version) (plat.Version, error) {
-		return client.Put(ctx, plat.ClassConfig, key, []byte(value), expect)
-	}
-	get := func() (plat.Object, error) { return client.Get(ctx, plat.ClassConfig, key) }
+// serve answers every call with answer and counts the calls.
+func serve(answer http.HandlerFunc) (*plat.Client, *atomic.Int64, metrics.Registry) {
+	var calls atomic.Int64
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls.Add(1)
+		answer(w, r)
+	}))
+	DeferCleanup(s.Close)
+	registry := metrics.NewRegistry()
+	return client(s.URL, registry), &calls, registry
+}
 
-	It("writes, reads, lists, watches and deletes", func() {
-		_, err := get()
-		Expect(err).To(MatchError(plat.ErrAbsent))
-		first, err := put("one", 0)
-		Expect(err).NotTo(HaveOccurred())
-		second, err := put("two", first)
-		Expect(err).NotTo(HaveOccurred())
-		Expect(get()).To(Equal(plat.Object{Key: key, Version: second, Value: []byte("two")}))
-		Expect(client.List(ctx, plat.ClassConfig, "config/")).To(ConsistOf(HaveField("Key", key)))
-		changes, upto, err := client.Watch(ctx, plat.ClassConfig, "config/", first, time.Second)
-		Expect(err).NotTo(HaveOccurred())
-		Expect(changes).To(ConsistOf(HaveField("Object.Value", []byte("two"))))
-		Expect(upto).To(BeNumerically(">=", second))
-		Expect(client.Delete(ctx, plat.ClassConfig, key, first)).To(MatchError(plat.ErrConflict))
-		Expect(client.Delete(ctx, plat.ClassConfig, key, second)).To(Succeed())
-		_, err = get()
-		Expect(err).To(MatchError(plat.ErrAbsent))
-	})
+func status(code int) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(code) }
+}
 
-	It("lets one of two racing writes win", Label("fault=operators-race", "step=publish", "holds=config"), func() {
-		version, err := put("one", 0)
-		Expect(err).NotTo(HaveOccurred())
-		_, err = put("left", version)
-		Expect(err).NotTo(HaveOccurred())
-		_, err = put("right", version)
-		Expect(err).To(MatchError(plat.ErrConflict))
-		Expect(get()).To(HaveField("Value", []byte("left")))
-	})
+func hangUp(_ http.ResponseWriter, r *http.Request) {
+	_, err := io.ReadAll(r.Body)
+	Expect(err).NotTo(HaveOccurred())
+	panic(http.ErrAbortHandler)
+}
 
-	It("finds an instance listed once it has announced itself, and again as leaving", Label("holds=leaving"), func() {
-		instance := plat.Instance{ID: "r1", Zone: "lima-sur", Address: "127.0.0.1:9200"}
-		Expect(client.Announce(ctx, plat.ClassStatus, instance)).To(Succeed())
-		Expect(client.Instances(ctx, plat.ClassStatus)).To(ConsistOf(instance))
-		instance.Leaving = true
-		Expect(client.Announce(ctx, plat.ClassStatus, instance)).To(Succeed())
-		Expect(client.Instances(ctx, plat.ClassStatus)).To(ConsistOf(instance))
-	})
+// silent answers nothing. It reads the body, as the server notices that the
+// client has gone only after that.
+func silent(_ http.ResponseWriter, r *http.Request) {
+	_, err := io.ReadAll(r.Body)
+	Expect(err).NotTo(HaveOccurred())
+	<-r.Context().Done()
+}
 
-	It("does not know the outcome of a write whose answer is lost, and writes once", Label("fault=platform-lost", "fault=platform-oneway", "step=publish", "step=claim", "step=handover"), func() {
-		store.SetFaults(stand.Faults{Lose: 1})
-		_, err := put("one", 0)
-		Expect(err).To(MatchError(plat.ErrUncertain))
-		Expect(calls.Load()).To(BeEquivalentTo(1))
-		Expect(get()).To(HaveField("Value", []byte("one")))
-		version, _ := get()
-		store.SetFaults(stand.Faults{Lose: 1})
-		Expect(client.Delete(ctx, plat.ClassConfig, key, version.Version)).To(MatchError(plat.ErrUncertain))
-		store.SetFaults(stand.Faults{Lose: 1})
-		Expect(client.Announce(ctx, plat.ClassStatus, plat.Instance{ID: "r1"})).To(MatchError(plat.ErrUncertain))
-	})
+var _ = Describe("Client", func() {
+	ctx := context.Background()
+
+	DescribeTable("names what became of a write, and makes it once",
+		func(answer http.HandlerFunc, want error) {
+			c, calls, _ := serve(answer)
+			_, err := c.Put(ctx, plat.ClassBill, "a/b", []byte("v"), 1)
+			Expect(err).To(MatchError(want))
+			Expect(c.Delete(ctx, plat.ClassBill, "a/b", 1)).To(MatchError(want))
+			Expect(calls.Load()).To(BeEquivalentTo(2))
+		},
+		Entry("answer lost", http.HandlerFunc(hangUp), plat.ErrUncertain),
+		Entry("timeout", http.HandlerFunc(silent), plat.ErrUncertain),
+		Entry("unknown failure", status(500), plat.ErrUncertain),
+		Entry("down", status(503), plat.ErrUnavailable),
+		Entry("over the rate", status(429), plat.ErrUnavailable),
+		Entry("conflict", status(409), plat.ErrConflict),
+	)
 
-	It("knows that a write had no effect while the platform is down, and tries reads again", Label("fault=platform-down", "step=publish", "step=claim"), func() {
-		store.SetFaults(stand.Faults{Down: true})
-		_, err := put("one", 0)
+	It("tells a refused connection from a lost answer", func() {
+		s := httptest.NewServer(http.NotFoundHandler())
+		s.Close()
+		_, err := client(s.URL, metrics.NewRegistry()).Put(ctx, plat.ClassClaim, "a", nil, 0)
 		Expect(err).To(MatchError(plat.ErrUnavailable))
-		Expect(calls.Load()).To(BeEquivalentTo(1))
-		_, err = get()
+		Expect(err).NotTo(MatchError(plat.ErrUncertain))
+	})
+
+	It("tries a read again while the platform is away, a bounded number of times", func() {
+		c, calls, registry := serve(status(503))
+		_, err := c.Get(ctx, plat.ClassConfig, "a")
 		Expect(err).To(MatchError(plat.ErrUnavailable))
-		Expect(calls.Load()).To(BeEquivalentTo(4))
-		store.SetFaults(stand.Faults{})
-		_, err = get()
+		Expect(calls.Load()).To(BeEquivalentTo(3))
+		Expect(registry.Get("platform.config.calls").(metrics.Counter).Count()).To(BeEquivalentTo(3))
+		Expect(registry.Get("platform.config.retries").(metrics.Counter).Count()).To(BeEquivalentTo(2))
+	})
+
+	It("does not try again for an object that does not exist", func() {
+		c, calls, _ := serve(status(404))
+		_, err := c.Get(ctx, plat.ClassConfig, "a")
 		Expect(err).To(MatchError(plat.ErrAbsent))
+		Expect(calls.Load()).To(BeEquivalentTo(1))
 	})
 
-	It("does not know the outcome of a write to a platform that is too slow", Label("fault=platform-slow", "step=publish", "step=claim"), func() {
-		store.SetFaults(stand.Faults{Slow: stand.Delay(time.Second)})
-		_, err := put("one", 0)
-		Expect(err).To(MatchError(plat.ErrUncertain))
+	It("speaks the protocol", func() {
+		c, _, _ := serve(func(w http.ResponseWriter, r *http.Request) {
+			switch r.Method + r.URL.RequestURI() {
+			case "PUT/v1/objects/a/b%20c":
+				Expect(r.Header.Get("If-Version")).To(Equal("7"))
+				w.Header().Set("X-Version", "8")
+			case "GET/v1/objects?prefix=a%2F":
+				fmt.Fprint(w, `{"objects":[{"key":"a/b","version":8,"value":"dg=="}]}`)
+			case "GET/v1/watch?prefix=a%2F&after=8&wait=50":
+				fmt.Fprint(w, `{"changes":[{"key":"a/b","version":0,"at":9}],"upto":9}`)
+			default:
+				w.WriteHeader(http.StatusTeapot)
+			}
+		})
+		Expect(c.Put(ctx, plat.ClassClaim, "a/b c", []byte("v"), 7)).To(Equal(plat.Version(8)))
+		Expect(c.List(ctx, plat.ClassClaim, "a/")).To(Equal([]plat.Object{{Key: "a/b", Version: 8, Value: []byte("v")}}))
+		changes, upto, err := c.Watch(ctx, plat.ClassClaim, "a/", 8, 50*time.Millisecond)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(upto).To(Equal(plat.Version(9)))
+		Expect(changes).To(Equal([]plat.Change{{Object: plat.Object{Key: "a/b"}, At: 9}}))
 	})
 
-	It("knows that a write had no effect when it reached nobody", Label("fault=platform-cut", "step=publish", "step=claim"), func() {
-		server.Close()
-		_, err := put("one", 0)
-		Expect(err).To(MatchError(plat.ErrUnavailable))
-		Expect(err).NotTo(MatchError(plat.ErrUncertain))
+	It("refuses a value that is too long without a call", func() {
+		c, calls, _ := serve(status(200))
+		_, err := c.Put(ctx, plat.ClassClaim, "a", make([]byte, plat.MaxValue+1), 0)
+		Expect(err).To(HaveOccurred())
+		Expect(calls.Load()).To(BeZero())
 	})
+})
 
-	It("makes no call beyond its budget, claims before all else", Label("fault=platform-slow", "step=claim"), func() {
-		rate := plat.Rate{Calls: 0.001, Burst: 4}
-		client = plat.NewClient(server.URL, server.Client(), plat.NewBudget(rate, rate, time.Now), plat.DefaultRetry(), metrics.NewRegistry())
-		ctx, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+var _ = Describe("Budget", func() {
+	It("refuses at once what can't be had before ctx ends", func() {
+		hour := plat.Rate{Calls: 1.0 / 3600, Burst: 1}
+		b := plat.NewBudget(hour, plenty, time.Now)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 		defer cancel()
-		failed := map[plat.Class]int{}
-		for _, class := range []plat.Class{plat.ClassStatus, plat.ClassStatus, plat.ClassStatus, plat.ClassClaim, plat.ClassClaim, plat.ClassClaim} {
-			if _, err := client.List(ctx, class, "x"); err != nil {
-				Expect(err).To(MatchError(plat.ErrUnavailable))
-				failed[class]++
+		Expect(b.Read(ctx, plat.ClassClaim)).To(Succeed())
+		answer := make(chan error, 1)
+		go func() { answer <- b.Read(ctx, plat.ClassClaim) }()
+		Eventually(answer).Should(Receive(MatchError(plat.ErrUnavailable)))
+	})
+
+	It("keeps a share of the calls from each less urgent class", func() {
+		now := time.Unix(0, 0)
+		b := plat.NewBucket(now, plat.Rate{Calls: 1, Burst: 100})
+		var had []int
+		for _, class := range []plat.Class{plat.ClassStatus, plat.ClassBill, plat.ClassConfig, plat.ClassClaim} {
+			n := 0
+			for b.Take(now, class) == 0 {
+				n++
 			}
+			had = append(had, n)
 		}
-		Expect(failed[plat.ClassClaim]).To(BeNumerically("<", failed[plat.ClassStatus]+2))
-		Expect(calls.Load()).To(BeEquivalentTo(4))
+		Expect(had).To(Equal([]int{50, 25, 15, 10}))
+	})
+
+	It("never exceeds its rate, nor lets status wait less than claims", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			rate := plat.Rate{Calls: rapid.Float64Range(1, 300).Draw(t, "rate"), Burst: rapid.Float64Range(4, 100).Draw(t, "burst")}
+			start := time.Unix(0, 0)
+			now := start
+			b := plat.NewBucket(now, rate)
+			taken := 0
+			for range rapid.IntRange(1, 300).Draw(t, "calls") {
+				now = now.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "ms")) * time.Millisecond)
+				class := plat.Class(rapid.IntRange(0, 3).Draw(t, "class"))
+				wait := b.Take(now, class)
+				if wait == 0 {
+					taken++
+				} else if class == plat.ClassClaim {
+					if s := b.Take(now, plat.ClassStatus); s < wait {
+						t.Fatalf("status waits %v, claims wait %v", s, wait)
+					}
+				}
+				if most := rate.Burst + rate.Calls*now.Sub(start).Seconds() + 1e-6; float64(taken) > most {
+					t.Fatalf("%d calls taken, at most %f are allowed", taken, most)
+				}
+			}
+		})
 	})
 })
