--- a/internal/roll/evidence.go
+++ b/internal/roll/evidence.go
@@ -207,11 +207,11 @@
 			keys = append(keys, k)
 		}
 	}
-	slices.SortFunc(keys, func(a, b Key) int {
-		return cmp.Or(cmp.Compare(a.order(seed), b.order(seed)), a.compare(b))
-	})
 	mark := e.mark
 	if len(keys) > most {
+		slices.SortFunc(keys, func(a, b Key) int {
+			return cmp.Or(cmp.Compare(a.order(seed), b.order(seed)), a.compare(b))
+		})
 		keys, mark = keys[:most], since
 	}
 	entries := make([]Entry, len(keys))
@@ -233,7 +233,8 @@
 // compare orders keys of the same place.
 func (k Key) compare(other Key) int {
 	return cmp.Or(
-		cmp.Compare(k.Release.String(), other.Release.String()),
+		cmp.Compare(k.Release.Model, other.Release.Model),
+		cmp.Compare(k.Release.Version, other.Release.Version),
 		cmp.Compare(k.Team, other.Team),
 		cmp.Compare(other.Stratum.Step, k.Stratum.Step),
 		cmp.Compare(other.Stratum.Window, k.Stratum.Window),
--- a/internal/roll/examine.go
+++ b/internal/roll/examine.go
@@ -11,9 +11,10 @@
 )
 
 // Alpha bounds the probability that a roll-out of a version that keeps within
-// its limits is withdrawn. It is divided evenly between the kinds, the steps,
-// all teams together and each team apart, and the whole step and its windows;
-// the n-th window of a step gets 1/(n(n+1)) of the windows' part.
+// its limits is withdrawn. It is divided evenly between the kinds, between the
+// whole roll-out and its windows, and between all teams together and each team
+// apart; each step has the same part of the windows' share, and its n-th window
+// 1/(n(n+1)) of that.
 const Alpha = 0.01
 
 // suspicious is the part of the evidence needed for a withdrawal at which no
@@ -28,7 +29,7 @@
 	kind     Kind
 	team     ident.TeamID
 	strength float64 // part of the evidence needed; 1 demands a withdrawal
-	counters *Counters
+	counters Counters
 }
 
 // examine looks for the strongest evidence that the candidate is worse than
@@ -40,34 +41,55 @@
 	}
 	slices.Sort(teams)
 	current := StratumAt(now, state)
-	each := Alpha / float64(len(kinds)*len(rollout.Steps)) / 2
-	worst := evidence.strongest(finding{}, rollout, current.Whole(), teams, each)
+	each := Alpha / float64(len(kinds)) / 2
+	search := search{evidence: evidence, release: ident.Release{Model: rollout.Model, Version: rollout.To}, teams: teams}
+	search.look(each, func(team ident.TeamID, sum *Counters) {
+		for step := range current.Step + 1 {
+			search.add(sum, team, Stratum{Step: step})
+		}
+	})
 	for w := max(1, current.Window-keptWindows+1); w <= current.Window; w++ {
-		current.Window = w
-		worst = evidence.strongest(worst, rollout, current, teams, each/float64(w*(w+1)))
+		search.look(each/float64(len(rollout.Steps)*w*(w+1)), func(team ident.TeamID, sum *Counters) {
+			search.add(sum, team, Stratum{Step: current.Step, Window: w})
+		})
 	}
-	return worst
+	return search.worst
 }
 
-// strongest gives the stronger of a finding and those of one stratum.
-func (e *Evidence) strongest(worst finding, rollout *fleet.Rollout, stratum Stratum, teams []ident.TeamID, alpha float64) finding {
-	release := ident.Release{Model: rollout.Model, Version: rollout.To}
-	look := func(team ident.TeamID, alpha float64) {
-		c, ok := e.cells[Key{Release: release, Team: team, Stratum: stratum}]
-		if !ok {
-			return
-		}
-		for _, k := range kinds {
-			if s := wealth(&c.total, k) / math.Log(1/alpha); s > worst.strength {
-				worst = finding{kind: k, team: team, strength: s, counters: &c.total}
-			}
+// search is the state of one search for findings.
+type search struct {
+	evidence *Evidence
+	release  ident.Release
+	teams    []ident.TeamID
+	worst    finding
+}
+
+// look tests all teams together and each apart on the counters that fill gives.
+func (s *search) look(alpha float64, fill func(ident.TeamID, *Counters)) {
+	s.test("", alpha/2, fill)
+	for _, t := range s.teams {
+		s.test(t, alpha/2/float64(len(s.teams)), fill)
+	}
+}
+
+func (s *search) test(team ident.TeamID, alpha float64, fill func(ident.TeamID, *Counters)) {
+	var sum Counters
+	fill(team, &sum)
+	if sum[CountRequests] == 0 && sum[CountRatings] == 0 {
+		return
+	}
+	for _, k := range kinds {
+		if strength := wealth(&sum, k) / math.Log(1/alpha); strength > s.worst.strength {
+			s.worst = finding{kind: k, team: team, strength: strength, counters: sum}
 		}
 	}
-	look("", alpha/2)
-	for _, t := range teams {
-		look(t, alpha/2/float64(len(teams)))
+}
+
+// add adds a cell, if there is one.
+func (s *search) add(sum *Counters, team ident.TeamID, stratum Stratum) {
+	if c, ok := s.evidence.cells[Key{Release: s.release, Team: team, Stratum: stratum}]; ok {
+		sum.add(&c.total)
 	}
-	return worst
 }
 
 // wealth gives the logarithm of the e-value against one kind of badness.
@@ -86,7 +108,7 @@
 
 // describe says in words what was found.
 func (f *finding) describe() string {
-	c := f.counters
+	c := &f.counters
 	switch f.kind {
 	case KindErrors:
 		return fmt.Sprintf("%d of %d requests failed, more than on the default version at the same time", c[CountErrors], c[CountRequests])
--- a/internal/roll/match.go
+++ b/internal/roll/match.go
@@ -60,13 +60,13 @@
 }
 
 // take gives the newest unused outcomes, as many as make a set, and uses them
-// up with all older ones.
+// up. Those that are too old are dropped.
 func (p *partners) take(now time.Time, age time.Duration, into *[16]float64) []float64 {
 	young := 0
 	for young < p.fresh && now.Sub(p.latest(young).at) <= age {
 		young++
 	}
-	p.fresh = 0
+	p.fresh = young
 	for _, size := range setSizes {
 		if young < size {
 			continue
@@ -74,6 +74,8 @@
 		for i := range size {
 			into[i] = p.latest(i).value
 		}
+		p.fresh -= size
+		p.next = (p.next - size + len(p.samples)) % len(p.samples)
 		return into[:size]
 	}
 	return nil
--- a/internal/roll/stratum.go
+++ b/internal/roll/stratum.go
@@ -10,9 +10,7 @@
 // its own, so that a version which turns bad is not hidden by a good past.
 const windowLength = 2 * time.Minute
 
-// Stratum is a part of a roll-out within which the candidate's share is
-// constant, so that both versions meet the same conditions. Window 0 stands
-// for the whole step.
+// Stratum is a part of a roll-out. Window 0 stands for the whole step.
 type Stratum struct {
 	Step   int `json:"step"`
 	Window int `json:"window"`
--- a/internal/roll/trial.go
+++ b/internal/roll/trial.go
@@ -18,6 +18,9 @@
 	trialTeams    = 10
 	trialRated    = 0.2 // share of answers that get rated
 	trialLength   = 2 * time.Hour
+	trialRouters  = 8
+	trialTrim     = 10 // seconds between two trims
+	trialBatch    = 4  // entries in a heartbeat, one a second to each peer
 )
 
 // Behaviour is how a version answers in a trial.
@@ -41,7 +44,7 @@
 }
 
 // decider is a way to decide on a running trial.
-type decider func(now time.Time, r *trial) Decision
+type decider func(now time.Time, r *trial, evidence *Evidence) Decision
 
 // Result is what a trial led to.
 type Result struct {
@@ -60,7 +63,9 @@
 	start    time.Time
 	config   *fleet.Config
 	state    fleet.RolloutState
-	evidence *Evidence
+	routers  []fleet.Router
+	evidence []*Evidence // of each router
+	marks    []Mark
 	due      [][]turn // requests by the second, a ring
 	result   Result
 	first    time.Time
@@ -83,7 +88,8 @@
 		now := r.start.Add(time.Duration(s) * time.Second)
 		r.arrive(s)
 		r.serve(now, s)
-		if r.act(now) {
+		r.gossip(now, s)
+		if r.act(now, r.evidence[s%trialRouters]) {
 			break
 		}
 	}
@@ -102,7 +108,8 @@
 		Trial:    t,
 		random:   rand.New(rand.NewPCG(t.Seed, 1)),
 		start:    time.Unix(0, 0).UTC(),
-		evidence: New(t.Seed),
+		evidence: make([]*Evidence, trialRouters),
+		marks:    make([]Mark, trialRouters),
 		due:      make([][]turn, trialGap+1),
 	}
 	r.config = &fleet.Config{
@@ -113,6 +120,10 @@
 			Limits: fleet.RolloutLimits{Errors: 0.01, Quality: 0.03, Latency: 1.25},
 		}},
 	}
+	for i := range trialRouters {
+		r.evidence[i] = New(t.Seed + uint64(i))
+		r.routers = append(r.routers, fleet.Router{ID: ident.RouterID(fmt.Sprint("r", i))})
+	}
 	for i := range trialTeams {
 		id := teamName(i)
 		r.config.Teams[id] = &fleet.Team{ID: id, Models: []fleet.ModelGrant{{Model: trialModel}}}
@@ -129,14 +140,14 @@
 func (r *trial) arrive(second int) {
 	snapshot := &fleet.Snapshot{Config: r.config, Rollouts: map[ident.ModelID]fleet.RolloutState{trialModel: r.state}}
 	rollout := r.config.Rollouts[trialModel]
-	self := Source{Router: "r"}
 	for range trialSessions {
+		at := r.random.IntN(trialRouters)
 		i := int(float64(trialTeams) * math.Pow(r.random.Float64(), 2))
 		team := r.config.Teams[teamName(i)]
-		quota := r.evidence.Share(self, rollout, r.state, nil, true)
+		quota := r.evidence[at].Share(r.source(at), rollout, r.state, r.routers, true)
 		choice, _ := Assign(r.random.Uint64(), snapshot, team, trialModel, quota)
 		if choice.Candidate {
-			r.evidence.Expose(self, r.view(r.start.Add(time.Duration(second)*time.Second)), team.ID)
+			r.evidence[at].Expose(r.source(at), r.view(r.start.Add(time.Duration(second)*time.Second)), team.ID)
 		}
 		n := turn{team: team.ID, candidate: choice.Version == "2", left: trialRequests}
 		if r.bad(n, time.Duration(second)*time.Second) {
@@ -178,15 +189,15 @@
 		failing = math.Max(failing, r.Burst)
 	}
 	first := time.Duration(b.Slow * 200 * float64(time.Millisecond) * math.Exp(0.5*r.random.NormFloat64()))
-	self := Source{Router: "r"}
+	at := r.random.IntN(trialRouters)
 	failed := r.random.Float64() < failing
 	outcome := Outcome{Failed: failed, Empty: r.random.Float64() < b.Empty, First: first}
 	var space [8]Count
 	counts := outcome.count(space[:0])
-	r.evidence.Record(now, self, view, n.team, release, outcome)
+	r.evidence[at].Record(now, r.source(at), view, n.team, release, outcome)
 	if !failed && r.random.Float64() < trialRated {
 		quality := ident.Quality(b.Quality + 0.1*r.random.NormFloat64())
-		r.evidence.Rate(now, self, view, n.team, release, quality)
+		r.evidence[at].Rate(now, r.source(at), view, n.team, release, quality)
 		counts = countRating(counts, quality)
 	}
 	for _, c := range counts {
@@ -194,6 +205,28 @@
 	}
 }
 
+func (r *trial) source(at int) Source {
+	return Source{Router: r.routers[at].ID}
+}
+
+// gossip sends each router's heartbeat to all others, and forgets what is no
+// longer needed.
+func (r *trial) gossip(now time.Time, second int) {
+	states := []fleet.RolloutState{r.state}
+	for i, e := range r.evidence {
+		if second%trialTrim == 0 {
+			e.Trim(now, r.config, states, func(Source) bool { return true })
+		}
+		entries, mark := e.Batch(r.source(i), r.marks[i], trialBatch, uint64(second))
+		r.marks[i] = mark
+		for j, peer := range r.evidence {
+			if i != j {
+				peer.Merge(entries)
+			}
+		}
+	}
+}
+
 func (r *trial) view(now time.Time) View {
 	view, _ := Look(now, r.config, r.state)
 	return view
@@ -205,8 +238,8 @@
 }
 
 // act acts on a decision; it is true when the trial is over.
-func (r *trial) act(now time.Time) bool {
-	switch d := r.Trial.decide(now, r).(type) {
+func (r *trial) act(now time.Time, evidence *Evidence) bool {
+	switch d := r.Trial.decide(now, r, evidence).(type) {
 	case Withdraw:
 		r.result.Withdrawn, r.result.Blamed = true, d.Team
 		if !r.first.IsZero() {
