--- a/internal/ctrl/control_test.go
+++ b/internal/ctrl/control_test.go
@@ -46,42 +46,44 @@
 			Expect(generations()).To(HaveLen(4))
 			fault()
 			w.run(500 * time.Millisecond)
-			w.publish(func(c *fleet.Config) { c.Zones["a"].Out = true })
-			w.run(inForce)
-			for id, g := range generations() {
-				Expect(g).To(Equal(w.head()), "router %s serves", id)
-				Expect(w.node(id).view.ZoneOut("a")).To(BeTrue())
+			for _, out := range []bool{true, false} {
+				w.publish(func(c *fleet.Config) { c.Zones["a"].Out = out })
+				w.run(inForce)
+				for id, g := range generations() {
+					Expect(g).To(Equal(w.head()), "router %s serves", id)
+					Expect(w.node(id).view.ZoneOut("a")).To(Equal(out))
+				}
+				Expect(generations()).NotTo(BeEmpty())
 			}
-			Expect(generations()).NotTo(BeEmpty())
 			w.run(10 * time.Second)
 		},
 		Entry("without a fault", Label("holds=config", "holds=zone"), func() {}),
-		Entry("a router killed", Label("fault=router-killed", "step=spread", "step=publish", "step=zone-out", "holds=config"), func() { w.node("a1").dead = true }),
-		Entry("a router frozen", Label("fault=router-frozen", "step=spread", "step=publish", "step=zone-out", "holds=config"), func() { w.node("a1").frozen = true }),
-		Entry("a router replaced", Label("fault=router-replaced", "step=spread", "step=publish", "step=zone-out", "holds=config"), func() {
+		Entry("a router killed", Label("fault=router-killed", "step=spread", "step=publish", "step=zone-out", "step=zone-in", "holds=config"), func() { w.node("a1").dead = true }),
+		Entry("a router frozen", Label("fault=router-frozen", "step=spread", "step=publish", "step=zone-out", "step=zone-in", "holds=config"), func() { w.node("a1").frozen = true }),
+		Entry("a router replaced", Label("fault=router-replaced", "step=spread", "step=publish", "step=zone-out", "step=zone-in", "holds=config"), func() {
 			w.node("a1").dead = true
 			w.begin("a3")
 		}),
-		Entry("three of four cut off from the platform", Label("fault=platform-cut", "step=spread", "step=publish", "step=zone-out", "holds=config"), func() {
+		Entry("three of four cut off from the platform", Label("fault=platform-cut", "step=spread", "step=publish", "step=zone-out", "step=zone-in", "holds=config"), func() {
 			for _, id := range []ident.RouterID{"a1", "a2", "b1"} {
 				w.node(id).apart = true
 			}
 		}),
-		Entry("one cut off from its peers", Label("fault=peer-cut", "step=spread", "step=publish", "step=zone-out"), func() { isolate("b2", true, false) }),
-		Entry("one cut off from everyone", Label("fault=peer-cut", "fault=platform-cut", "fault=two", "step=spread", "step=zone-out", "holds=config", "holds=zone"), func() { isolate("b2", true, true) }),
-		Entry("one that hears peers, but reaches nobody", Label("fault=peer-oneway", "fault=two", "step=spread", "step=zone-out", "holds=config"), func() {
+		Entry("one cut off from its peers", Label("fault=peer-cut", "step=spread", "step=publish", "step=zone-out", "step=zone-in"), func() { isolate("b2", true, false) }),
+		Entry("one cut off from everyone", Label("fault=peer-cut", "fault=platform-cut", "fault=two", "step=spread", "step=zone-out", "step=zone-in", "holds=config", "holds=zone"), func() { isolate("b2", true, true) }),
+		Entry("one that hears peers, but reaches nobody", Label("fault=peer-oneway", "fault=two", "step=spread", "step=zone-out", "step=zone-in", "holds=config"), func() {
 			for _, n := range w.nodes {
 				w.cut[[2]ident.RouterID{"b2", n.id}] = true
 			}
 			w.node("b2").apart = true
 		}),
-		Entry("one that speaks to peers, but hears nobody", Label("fault=peer-oneway", "fault=two", "step=spread", "step=zone-out", "holds=config"), func() {
+		Entry("one that speaks to peers, but hears nobody", Label("fault=peer-oneway", "fault=two", "step=spread", "step=zone-out", "step=zone-in", "holds=config"), func() {
 			for _, n := range w.nodes {
 				w.cut[[2]ident.RouterID{n.id, "b2"}] = true
 			}
 			w.node("b2").apart = true
 		}),
-		Entry("two that only reach each other, and hear a third", Label("fault=peer-oneway", "fault=two", "step=spread", "step=zone-out", "holds=config"), func() {
+		Entry("two that only reach each other, and hear a third", Label("fault=peer-oneway", "fault=two", "step=spread", "step=zone-out", "step=zone-in", "holds=config"), func() {
 			for _, id := range []ident.RouterID{"b1", "b2"} {
 				w.cut[[2]ident.RouterID{id, "a1"}] = true
 				w.cut[[2]ident.RouterID{id, "a2"}] = true
@@ -90,7 +92,7 @@
 		}),
 		Entry("messages doubled", Label("fault=peer-slow", "step=spread"), func() { w.doubled = true }),
 		Entry("answers of the platform lost", Label("fault=platform-lost", "fault=platform-oneway", "step=spread", "step=publish"), func() { w.store.lose = true }),
-		Entry("a list of instances that stays as it was", Label("fault=list-lags", "step=spread", "step=publish", "step=zone-out"), func() {
+		Entry("a list of instances that stays as it was", Label("fault=list-lags", "step=spread", "step=publish", "step=zone-out", "step=zone-in"), func() {
 			w.store.before = map[string]plat.Instance{}
 			for id, i := range w.store.instances {
 				w.store.before[id] = i
--- a/internal/faults/faults_test.go
+++ b/internal/faults/faults_test.go
@@ -30,7 +30,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		bare := faults.Page(nil)
 		page := faults.Page(proofs)
-		Expect(page).To(ContainSubstring("1. `internal/permit`: grants one slot"))
+		Expect(page).To(ContainSubstring("- `internal/permit`: **1** grants one slot."))
 		Expect(strings.Count(page, "unproved |")).To(Equal(strings.Count(bare, "unproved |") - 2))
 	})
 
--- a/internal/faults/named.go
+++ b/internal/faults/named.go
@@ -1,7 +1,8 @@
 package faults
 
 // named are tests that carry no labels: plain Go tests, and specs of packages
-// that know nothing of the matrix.
+// that know nothing of the matrix. A name may be the beginning of several specs'
+// names.
 var named = []Proof{
 	{
 		Package: "flow", Name: "TestRandomFaults",
@@ -24,4 +25,294 @@
 		Faults: []Fault{"platform-down"},
 		Steps:  []Step{"claim", "bill", "reply"},
 	},
+	{
+		Package: "ctrl", Name: "TestRandomFaults",
+		Faults: []Fault{"router-frozen", "router-replaced", "peer-cut", "peer-oneway", "platform-cut", "platform-down", "platform-lost", "platform-stale", "two"},
+		Steps:  []Step{"spread", "withdraw", "handover"},
+		Holds:  []Promise{"config", "withdrawn", "cold"},
+	},
+	{
+		Package: "publsh", Name: "TestRace",
+		Faults: []Fault{"operators-race"},
+		Steps:  []Step{"publish", "withdraw"},
+		Holds:  []Promise{"config"},
+	},
+	{
+		Package: "publsh", Name: "TestRace",
+		Faults: []Fault{"platform-lost", "platform-slow", "two"},
+		Steps:  []Step{"publish"},
+	},
+	{
+		Package: "publsh", Name: "Publish meets another operator's change half-way",
+		Faults: []Fault{"operators-race"},
+		Steps:  []Step{"publish", "zone-out", "zone-in", "rollout"},
+		Holds:  []Promise{"config"},
+	},
+	{
+		Package: "publsh", Name: "Publish withdrawals are not undone by accident",
+		Faults: []Fault{"operators-race"},
+		Steps:  []Step{"withdraw"},
+		Holds:  []Promise{"withdrawn"},
+	},
+	{
+		Package: "publsh", Name: "Publish finds its own write by the nonce when the answer is lost",
+		Faults: []Fault{"platform-lost", "platform-oneway"},
+		Steps:  []Step{"publish"},
+		Holds:  []Promise{"config"},
+	},
+	{
+		Package: "publsh", Name: "Publish gives up on a platform that does not answer for long",
+		Faults: []Fault{"platform-slow", "platform-down"},
+		Steps:  []Step{"publish"},
+	},
+	{
+		Package: "publsh", Name: "Await waits for each live router and names the one that lags",
+		Faults: []Fault{"router-frozen", "peer-slow"},
+		Steps:  []Step{"publish"},
+		Holds:  []Promise{"config"},
+	},
+	{
+		Package: "publsh", Name: "Await does not take silence for success",
+		Faults: []Fault{"router-killed", "peer-cut"},
+		Steps:  []Step{"publish"},
+		Holds:  []Promise{"config"},
+	},
+	{
+		Package: "model", Name: "Search holds every invariant: repeat, answers lost",
+		Faults: []Fault{"platform-lost", "platform-oneway"},
+		Steps:  []Step{"claim", "bill"},
+		Holds:  []Promise{"once", "refusal", "bill"},
+	},
+	{
+		Package: "model", Name: "Search holds every invariant: repeat, platform away",
+		Faults: []Fault{"platform-down", "platform-cut"},
+		Steps:  []Step{"claim", "bill"},
+		Holds:  []Promise{"once", "refusal", "bill"},
+	},
+	{
+		Package: "model", Name: "Search holds every invariant: repeat, router killed",
+		Faults: []Fault{"router-killed", "router-replaced"},
+		Steps:  []Step{"claim", "bill"},
+		Holds:  []Promise{"once", "refusal", "bill"},
+	},
+	{
+		Package: "model", Name: "Search holds every invariant: repeat, caller gone",
+		Faults: []Fault{"caller-bad", "two"},
+		Steps:  []Step{"claim"},
+		Holds:  []Promise{"once"},
+	},
+	{
+		Package: "model", Name: "Search holds every invariant: bills, router killed",
+		Faults: []Fault{"router-killed", "two"},
+		Steps:  []Step{"bill"},
+		Holds:  []Promise{"bill"},
+	},
+	{
+		Package: "model", Name: "Search holds every invariant: forward, link broken",
+		Faults: []Fault{"peer-cut", "peer-oneway"},
+		Steps:  []Step{"claim", "bill"},
+		Holds:  []Promise{"once", "bill"},
+	},
+	{
+		Package: "model", Name: "Search holds every invariant: forward, owner killed",
+		Faults: []Fault{"router-killed", "two"},
+		Steps:  []Step{"claim", "bill"},
+		Holds:  []Promise{"once", "bill"},
+	},
+	{
+		Package: "shard", Name: "Journal refuses claims and keeps bills while the platform is away",
+		Faults: []Fault{"platform-down", "platform-cut"},
+		Steps:  []Step{"claim", "bill"},
+		Holds:  []Promise{"refusal", "bill"},
+	},
+	{
+		Package: "shard", Name: "Journal answers a repeat through another router with the outcome",
+		Faults: []Fault{"router-replaced"},
+		Steps:  []Step{"claim", "reply"},
+		Holds:  []Promise{"once"},
+	},
+	{
+		Package: "shard", Name: "Journal that forwards commits each record once, whatever becomes of the link",
+		Faults: []Fault{"peer-cut", "peer-oneway"},
+		Steps:  []Step{"claim", "bill"},
+		Holds:  []Promise{"once", "bill"},
+	},
+	{
+		Package: "shard", Name: "Journal that forwards writes what a dead peer had pending, but no claims",
+		Faults: []Fault{"router-killed"},
+		Steps:  []Step{"bill"},
+		Holds:  []Promise{"bill"},
+	},
+	{
+		Package: "permit", Name: "Steward hands out no more than the cold slots under any faults",
+		Faults: []Fault{"lease-lapsed", "router-frozen", "platform-lost", "endpoint-lies"},
+		Steps:  []Step{"choose", "handover"},
+		Holds:  []Promise{"cold"},
+	},
+	{
+		Package: "permit", Name: "Steward gives up no lease as clean while an earlier holder's permits may be in use",
+		Faults: []Fault{"router-killed", "lease-lapsed"},
+		Steps:  []Step{"stop"},
+		Holds:  []Promise{"cold"},
+	},
+	{
+		Package: "permit", Name: "Phase is cold until the endpoint reports otherwise",
+		Faults: []Fault{"endpoint-cold", "endpoint-slow", "endpoint-crashed", "endpoint-cut", "peer-slow"},
+		Steps:  []Step{"choose"},
+		Holds:  []Promise{"cold"},
+	},
+	{
+		Package: "permit", Name: "Holder sends once, and only within the start time counted from its question",
+		Faults: []Fault{"lease-lapsed"},
+		Steps:  []Step{"dispatch"},
+		Holds:  []Promise{"cold"},
+	},
+	{
+		Package: "permit", Name: "Holder ends runs before their permits lapse, unless prolonged",
+		Faults: []Fault{"lease-lapsed"},
+		Steps:  []Step{"middle"},
+		Holds:  []Promise{"cold"},
+	},
+	{
+		Package: "fence", Name: "Orders leaves endpoints in what the last steward wants",
+		Faults: []Fault{"lease-lapsed", "router-frozen"},
+		Steps:  []Step{"handover"},
+	},
+	{
+		Package: "fence", Name: "Orders sends again when the answer was lost",
+		Faults: []Fault{"endpoint-oneway", "endpoint-cut"},
+		Steps:  []Step{"handover"},
+	},
+	{
+		Package: "poison", Name: "Home lets a body crash no more than two endpoints, however many routers send it at once",
+		Faults: []Fault{"poison", "endpoint-crashed"},
+		Steps:  []Step{"choose", "dispatch"},
+	},
+	{
+		Package: "poison", Name: "Home does not clear a suspect by a run that was cut",
+		Faults: []Fault{"poison", "endpoint-cut"},
+		Steps:  []Step{"middle", "final"},
+	},
+	{
+		Package: "poison", Name: "Table comes to the same by merging, in whatever order and however often",
+		Faults: []Fault{"poison", "peer-slow", "two"},
+		Steps:  []Step{"choose"},
+	},
+	{
+		Package: "route", Name: "Choose takes no endpoint that must not run the request zone out",
+		Faults: []Fault{"pool-out"},
+		Steps:  []Step{"zone-out"},
+		Holds:  []Promise{"zone"},
+	},
+	{
+		Package: "route", Name: "Choose takes no endpoint that must not run the request leaving",
+		Faults: []Fault{"list-lags"},
+		Steps:  []Step{"choose"},
+		Holds:  []Promise{"leaving"},
+	},
+	{
+		Package: "route", Name: "Choose takes no endpoint that must not run the request withdrawn",
+		Faults: []Fault{"version-bad"},
+		Steps:  []Step{"choose"},
+		Holds:  []Promise{"withdrawn"},
+	},
+	{
+		Package: "route", Name: "Choose does not herd",
+		Faults: []Fault{"endpoint-lies"},
+		Steps:  []Step{"choose"},
+	},
+	{
+		Package: "route", Name: "Table scores an endpoint down as its first tokens come late",
+		Faults: []Fault{"endpoint-slow"},
+		Steps:  []Step{"choose", "first"},
+	},
+	{
+		Package: "route", Name: "Table cuts the limit on refusals",
+		Faults: []Fault{"endpoint-lies", "pool-out"},
+		Steps:  []Step{"choose"},
+	},
+	{
+		Package: "retry", Name: "Assembler gives each frame once, in order and whole, whatever arrives in whatever order",
+		Faults: []Fault{"frames-late", "frames-doubled", "frames-reordered"},
+		Steps:  []Step{"first", "middle", "final"},
+		Holds:  []Promise{"answer"},
+	},
+	{
+		Package: "retry", Name: "Decide resumes a broken stream at once, after what was received",
+		Faults: []Fault{"endpoint-crashed", "endpoint-cut", "endpoint-oneway"},
+		Steps:  []Step{"middle", "final"},
+		Holds:  []Promise{"answer"},
+	},
+	{
+		Package: "retry", Name: "Decide hedges once the first token is late, and not before",
+		Faults: []Fault{"endpoint-slow"},
+		Steps:  []Step{"first"},
+	},
+	{
+		Package: "retry", Name: "Decide keeps extra attempts within their share, also when everything fails",
+		Faults: []Fault{"endpoint-crashed", "two"},
+		Steps:  []Step{"dispatch"},
+	},
+	{
+		Package: "roll", Name: "A roll-out of a bad version is withdrawn within its first step",
+		Faults: []Fault{"version-bad"},
+		Steps:  []Step{"rollout", "withdraw"},
+	},
+	{
+		Package: "roll", Name: "A step's session limit is kept by all routers together",
+		Faults: []Fault{"router-killed", "router-replaced"},
+		Steps:  []Step{"rollout"},
+	},
+	{
+		Package: "roll", Name: "Assign gives a session the candidate at most from one step on",
+		Faults: []Fault{"version-bad"},
+		Steps:  []Step{"rollout"},
+		Holds:  []Promise{"session"},
+	},
+	{
+		Package: "roll", Name: "Assign never gives a version that is withdrawn or that the team may not use",
+		Faults: []Fault{"version-bad"},
+		Steps:  []Step{"choose"},
+		Holds:  []Promise{"team", "withdrawn"},
+	},
+	{
+		Package: "sess", Name: "Resolve keeps the version through anything but a withdrawal, and says when it moves",
+		Faults: []Fault{"version-bad", "platform-down"},
+		Steps:  []Step{"choose"},
+		Holds:  []Promise{"session"},
+	},
+	{
+		Package: "sess", Name: "Homes are in two zones, never leaving, and move only when a home goes",
+		Faults: []Fault{"router-killed"},
+		Steps:  []Step{"choose"},
+		Holds:  []Promise{"session"},
+	},
+	{
+		Package: "casc", Name: "Plan falls to a cheaper model when pools are out, only where the team allows it",
+		Faults: []Fault{"pool-out"},
+		Steps:  []Step{"choose"},
+		Holds:  []Promise{"team"},
+	},
+	{
+		Package: "admit", Name: "Gate refuses at once, with the time to come back, what cannot be answered in time",
+		Faults: []Fault{"pool-out", "endpoint-slow"},
+		Steps:  []Step{"admit", "reply"},
+		Holds:  []Promise{"refusal"},
+	},
+	{
+		Package: "admit", Name: "Measure holds the goodput and the small teams' share under overload",
+		Faults: []Fault{"pool-out"},
+		Steps:  []Step{"admit"},
+	},
+	{
+		Package: "gossip", Name: "Fresh tells how a router stands",
+		Faults: []Fault{"platform-cut", "platform-down", "peer-cut"},
+		Steps:  []Step{"admit"},
+		Holds:  []Promise{"config"},
+	},
+	{
+		Package: "gossip", Name: "Targets carry an urgent item everywhere within a second at 10% loss",
+		Faults: []Fault{"peer-slow", "peer-oneway"},
+		Steps:  []Step{"spread", "withdraw"},
+	},
 }
--- a/internal/faults/page.go
+++ b/internal/faults/page.go
@@ -120,15 +120,21 @@
 	}
 }
 
+// writeTests lists the tests, one line a package.
 func writeTests(b *strings.Builder, proofs []Proof) {
-	b.WriteString("\n## The tests\n\n")
-	last := 0
+	b.WriteString("\n## The tests\n")
+	last, pkg := 0, ""
 	for _, p := range proofs {
+		if p.Package != pkg {
+			pkg = p.Package
+			fmt.Fprintf(b, "\n- `internal/%s`:", pkg)
+		}
 		if p.number > last {
-			fmt.Fprintf(b, "%d. `internal/%s`: %s\n", p.number, p.Package, p.Name)
+			fmt.Fprintf(b, " **%d** %s.", p.number, strings.TrimRight(p.Name, "."))
 		}
 		last = p.number
 	}
+	b.WriteString("\n")
 }
 
 // numbered gives the proofs with the numbers of their tests; entries of one
--- a/internal/faults/proof.go
+++ b/internal/faults/proof.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"io"
 	"path"
-	"sort"
+	"slices"
 	"strings"
 
 	"github.com/onsi/ginkgo/v2/types"
@@ -20,7 +20,8 @@
 	Steps   []Step
 	Holds   []Promise
 
-	number int // on the page
+	table  string // the name without its last part, for specs of a table
+	number int    // on the page
 }
 
 // The labels of tests, as in "fault=poison", "step=choose" and "holds=once".
@@ -54,7 +55,7 @@
 }
 
 func newProof(suite string, spec types.SpecReport) (Proof, error) {
-	p := Proof{Package: suite, Name: spec.FullText()}
+	p := Proof{Package: suite, Name: spec.FullText(), table: strings.Join(spec.ContainerHierarchyTexts, " ")}
 	for _, label := range spec.Labels() {
 		if err := p.add(label); err != nil {
 			return Proof{}, fmt.Errorf("test %q of package %q: %w", p.Name, suite, err)
@@ -109,19 +110,44 @@
 		if err := n.check(); err != nil {
 			return nil, fmt.Errorf("named test %q of package %q: %w", n.Name, n.Package, err)
 		}
-		spec := known(proofs, func(p Proof) bool { return p.Package == n.Package && p.Name == n.Name })
+		spec := known(proofs, func(p Proof) bool { return p.Package == n.Package && strings.HasPrefix(p.Name, n.Name) })
 		if !spec && !found(n.Package, n.Name) {
 			return nil, fmt.Errorf("package %q has no test %q: mend the table in named.go", n.Package, n.Name)
 		}
 		kept = append(kept, n)
 	}
-	sort.SliceStable(kept, func(i, j int) bool {
-		if kept[i].Package != kept[j].Package {
-			return kept[i].Package < kept[j].Package
-		}
-		return kept[i].Name < kept[j].Name
+	slices.SortStableFunc(kept, func(p, q Proof) int {
+		return slices.Compare(p.order(), q.order())
 	})
-	return kept, nil
+	return fold(kept), nil
+}
+
+// fold makes one proof of those entries of a table that prove the same.
+func fold(proofs []Proof) []Proof {
+	var folded []Proof
+	for _, p := range proofs {
+		if n := len(folded) - 1; n >= 0 && p.table != "" && folded[n].same(p) {
+			folded[n].Name += ";" + strings.TrimPrefix(p.Name, p.table)
+			continue
+		}
+		folded = append(folded, p)
+	}
+	return folded
+}
+
+// same tells whether two specs of one table prove the same.
+func (p Proof) same(q Proof) bool {
+	return p.Package == q.Package && p.table == q.table &&
+		slices.Equal(p.Faults, q.Faults) && slices.Equal(p.Steps, q.Steps) && slices.Equal(p.Holds, q.Holds)
+}
+
+// order sorts proofs by package and name, and puts those entries of a table
+// together that prove the same.
+func (p Proof) order() []string {
+	if p.table == "" {
+		return []string{p.Package, "", p.Name}
+	}
+	return []string{p.Package, p.table, fmt.Sprint(p.Faults, p.Steps, p.Holds), p.Name}
 }
 
 func known[T any](list []T, is func(T) bool) bool {
--- a/internal/faults/reason.go
+++ b/internal/faults/reason.go
@@ -24,6 +24,8 @@
 	{platformFaults, []Step{"admit", "dispatch", "first", "middle", "final", "rate"}, "the step asks the platform nothing"},
 	{[]Fault{"platform-lost", "platform-oneway"}, []Step{"choose"}, "the step writes nothing to the platform"},
 	{[]Fault{"operators-race"}, requestSteps, "a request decides on one immutable view, on which operators' changes have no effect half-way"},
+	{[]Fault{"endpoint-cut", "endpoint-oneway", "endpoint-slow", "endpoint-lies", "endpoint-crashed", "endpoint-cold"}, []Step{"rollout", "withdraw", "zone-out"}, "the change asks no endpoint; what comes of it on endpoints is the request's choose"},
+	{[]Fault{"list-lags"}, []Step{"rollout", "withdraw"}, "the change does not use the list of instances; silent peers get heartbeats all the same"},
 	{[]Fault{"operators-race"}, []Step{"spread", "handover", "stop"}, "only one of two racing changes has won by then"},
 	{[]Fault{"list-lags"}, []Step{"claim", "dispatch", "first", "middle", "final", "rate", "bill", "reply"}, "the step does not use the list of instances"},
 	{[]Fault{"poison"}, []Step{"admit", "claim", "rate", "bill"}, "the body is not on an endpoint at this step"},
