--- a/internal/flow/fault_test.go
+++ b/internal/flow/fault_test.go
@@ -131,7 +131,7 @@
 				case flow.Plan:
 					return []flow.Event{flow.Planned{Rungs: []flow.Rung{{Model: "quena", Rated: true}, {Index: 1, Model: "condor"}}}}
 				case flow.Rate:
-					return []flow.Event{flow.Judged{Accept: false}}
+					return []flow.Event{flow.Judged{Accept: empty}}
 				}
 				return smooth(a)
 			}
