Let suspects wait until a death is known everywhere

Ruled out: two suspects on one endpoint (the stewards denied the second). Change: a suspect's next run waits 250 ms after its last death; a run that began after a death was known is not blamed for it; deaths are recorded by the body's home alone where it can be told; a suspect's permit is kept for 1.5 s after a crash.

--- a/internal/poison/home.go
+++ b/internal/poison/home.go
@@ -9,7 +9,11 @@
 
 const (
 	claimPause = 50 * time.Millisecond // before a claim that must wait is made again
-	maxProven  = 65536                 // bodies remembered as harmless
+	// settlePause is the time after a death in which its suspects wait, so that
+	// none is sent to an endpoint whose death has not been heard of everywhere,
+	// and blamed for it.
+	settlePause = 250 * time.Millisecond
+	maxProven   = 65536 // bodies remembered as harmless
 )
 
 // Claim asks a body's home, before each run, whether the body may run. The home
@@ -57,6 +61,7 @@
 
 // run is a claim that was answered with Run.
 type run struct {
+	began  time.Time
 	until  time.Time
 	alone  bool
 	deaths []Boot // that counted against the body when the run began
@@ -91,6 +96,9 @@
 		if len(runs) > 0 {
 			return Wait{RetryAfter: claimPause}
 		}
+		if rest := settlePause - now.Sub(h.table.newest(c.Fingerprint)); rest > 0 {
+			return Wait{RetryAfter: rest}
+		}
 		h.begin(now, c, true)
 		return Run{Alone: true}
 	case fleet.SuspicionNone:
@@ -104,7 +112,7 @@
 
 // End takes in the end of a claimed run.
 func (h *Home) End(now time.Time, e Ended) {
-	if e.Died != nil {
+	if e.Died != nil && !h.after(e) {
 		h.table.Record(now, *e.Died, []ident.Fingerprint{e.Fingerprint})
 	}
 	if r, ok := h.open[e.Fingerprint][e.Attempt]; ok && e.Whole {
@@ -116,11 +124,20 @@
 	}
 }
 
+// after tells whether the run began when the endpoint's life was known to be
+// over, so that it cannot have ended that life.
+func (h *Home) after(e Ended) bool {
+	r, open := h.open[e.Fingerprint][e.Attempt]
+	died, known := h.table.died(*e.Died)
+	return open && known && r.began.After(died)
+}
+
 func (h *Home) begin(now time.Time, c Claim, alone bool) {
 	if h.open[c.Fingerprint] == nil {
 		h.open[c.Fingerprint] = make(map[ident.AttemptID]run, 1)
 	}
 	h.open[c.Fingerprint][c.Attempt] = run{
+		began:  now,
 		until:  now.Add(h.expiry),
 		alone:  alone,
 		deaths: h.table.Known(now, c.Fingerprint),
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -159,6 +159,26 @@
 	return changed
 }
 
+// newest gives the time of the last death that counts against a body.
+func (t *Table) newest(body ident.Fingerprint) time.Time {
+	var at time.Time
+	for b, cleared := range t.bodies[body] {
+		if d := t.deaths[b]; !cleared && d.at.After(at) {
+			at = d.at
+		}
+	}
+	return at
+}
+
+// died gives the time at which a life of an endpoint ended, if that is known.
+func (t *Table) died(b Boot) (time.Time, bool) {
+	d, known := t.deaths[b]
+	if !known {
+		return time.Time{}, false
+	}
+	return d.at, true
+}
+
 func (t *Table) add(now time.Time, d Death) bool {
 	t.expire(now)
 	if d.Age >= t.lifetime {
--- a/internal/router/peer.go
+++ b/internal/router/peer.go
@@ -238,18 +238,28 @@
 	return v.Homes.Home(f)
 }
 
-// End implements serve.Guards.
+// End implements serve.Guards. A death that the home cannot be told of is kept
+// here, and spread from here.
 func (g *guards) End(ctx context.Context, ended poison.Ended) {
 	home := g.home(ended.Fingerprint)
-	if home == g.router.self.ID || ended.Died != nil {
+	if home == g.router.self.ID {
 		g.router.tell(ctrl.EndClaim{Ended: ended})
+		return
 	}
-	if home == g.router.self.ID {
+	err := g.tellHome(ctx, home, ended)
+	if err == nil {
 		return
 	}
+	g.router.metrics.Count("guard_end_failures_total", 1)
+	if ended.Died != nil {
+		g.router.tell(ctrl.EndClaim{Ended: ended})
+	}
+}
+
+func (g *guards) tellHome(ctx context.Context, home ident.RouterID, ended poison.Ended) error {
 	peer, err := g.router.peer(home)
 	if err != nil {
-		return
+		return err
 	}
 	request := &wire.EndRequest{Fingerprint: uint64(ended.Fingerprint), Attempt: string(ended.Attempt), Whole: ended.Whole}
 	if ended.Died != nil {
@@ -258,6 +268,7 @@
 		request.Boot = ended.Died.Boot
 	}
 	if _, err := peer.End(ctx, request); err != nil {
-		g.router.metrics.Count("guard_end_failures_total", 1)
+		return fmt.Errorf("telling home %q of an end: %w", home, err)
 	}
+	return nil
 }
--- a/internal/serve/try.go
+++ b/internal/serve/try.go
@@ -22,6 +22,8 @@
 	// deathTimeout bounds how long an answer waits for the home of a body to
 	// learn that an endpoint broke under it.
 	deathTimeout = 200 * time.Millisecond
+	// crashHold is how long a permit is kept after the endpoint broke.
+	crashHold = 1500 * time.Millisecond
 )
 
 var (
@@ -42,6 +44,7 @@
 	started  time.Time
 	first    time.Duration // time to the first token, 0 before it
 	final    bool
+	died     bool // the endpoint broke under it
 	deadline time.Time
 }
 
@@ -85,7 +88,7 @@
 	defer span.End()
 	ended := flow.Ended{Attempt: t.action.Attempt}
 	if t.action.Cold {
-		defer t.server.Permits.Release(t.action.Endpoint, t.action.Attempt)
+		defer t.release()
 		stop := t.boundByPermit(ctx)
 		defer stop()
 	}
@@ -110,6 +113,18 @@
 	return nil
 }
 
+// release gives the permit back. After a crash it is kept until every router
+// has heard of it, so that no other suspect is sent to the dead endpoint and
+// blamed for its death.
+func (t *try) release() {
+	give := func() { t.server.Permits.Release(t.action.Endpoint, t.action.Attempt) }
+	if t.died {
+		time.AfterFunc(crashHold, give)
+		return
+	}
+	give()
+}
+
 // boundByPermit cancels the attempt when its permit ends.
 func (t *try) boundByPermit(ctx context.Context) (stop func()) {
 	ending := t.server.Permits.Ending(t.action.Attempt)
@@ -181,6 +196,7 @@
 	cancelled := ctx.Err() != nil && err != nil
 	t.server.Table.End(t.server.Now(), spec.ID, tableOutcome(err, cancelled))
 	died := err != nil && !cancelled && isBroken(err)
+	t.died = died
 	t.endGuard(ctx, err == nil, died)
 	if cancelled {
 		return
