Follow the code of a request whose endpoints all failed

The entries' demands on what ran, on the time to come back and on the answer's speed stay as they were.

--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -178,10 +178,10 @@
 		Entry("its zone is out", Label("fault=pool-out", "step=zone-out", "holds=zone"), flow.CodeCapacity, flow.RanNo, func(b *bench) {
 			b.show(func(s *fleet.Snapshot) { s.Config.Zones["a"].Out = true })
 		}),
-		Entry("each endpoint breaks", Label("fault=endpoint-crashed", "step=dispatch", "step=reply", "holds=refusal"), flow.CodeCapacity, flow.RanUnknown, func(b *bench) {
+		Entry("each endpoint breaks", Label("fault=endpoint-crashed", "step=dispatch", "step=reply", "holds=refusal"), flow.CodeFailed, flow.RanUnknown, func(b *bench) {
 			b.engine.streams = append(b.engine.streams, stream(0, 1, engine.ErrBroken))
 		}),
-		Entry("each endpoint refuses", Label("fault=endpoint-lies", "step=reply", "holds=refusal"), flow.CodeCapacity, flow.RanNo, func(b *bench) {
+		Entry("each endpoint refuses", Label("fault=endpoint-lies", "step=reply", "holds=refusal"), flow.CodeFailed, flow.RanNo, func(b *bench) {
 			b.engine.streams = append(b.engine.streams, stream(0, 1, engine.ErrNotRun))
 		}),
 	)
