Keep copies of queued records at peers, and adopt those of dead routers

A bill whose caller was answered while the platform was away lived in one router's memory alone and was lost with it.

Adopt could not tell a full queue from a durable record, so Take does. An answer too large to keep is recorded by a short body: Finish failed with ErrBody, and a repeat heard that the outcome was unknown.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -74,6 +74,7 @@
 	prefixes *route.Prefixes
 	gates    *serve.Gates
 	journal  *shard.Journal
+	copies   *copier
 	permits  *permits
 	guards   *guards
 	server   *serve.Server
@@ -152,6 +153,7 @@
 	r.engine = engine.New(httpClient(connectTimeout))
 	r.control = ctrl.New(r.self, ctrl.DefaultSettings(r.settings.Times.Heartbeat), r.started)
 	r.journal = shard.New(r.self.ID, r.journalSettings(), r.platform, &forwarder{router: r}, time.Now, r.metrics.Registry(), r.log)
+	r.copies = newCopier(r)
 	r.permits = newPermits(r, permit.NewHolder(r.self.ID, permit.DefaultSettings().Margin))
 	r.guards = &guards{router: r}
 	return r.assembleServer()
@@ -174,6 +176,7 @@
 		Prefixes: r.prefixes,
 		Gates:    r.gates,
 		Journal:  r.journal,
+		Copies:   r.copies,
 		Engine:   r.engine,
 		Permits:  r.permits,
 		Guards:   r.guards,
@@ -212,6 +215,7 @@
 	group.Go(func() error { return r.pollLoop(work) })
 	group.Go(func() error { return r.watchLoop(work) })
 	group.Go(func() error { return r.permits.loop(work) })
+	group.Go(func() error { return r.copies.loop(work) })
 	group.Go(func() error { return closed(r.rpc.Serve(r.peerLinks)) })
 	group.Go(func() error { return closed(admin.Serve(r.admin)) })
 	group.Go(func() error { return closed(callers.Serve(r.caller)) })
--- a/internal/router/stop.go
+++ b/internal/router/stop.go
@@ -36,6 +36,9 @@
 	defer stop()
 	if err := r.journal.Flush(flush); err != nil {
 		r.log.Error("journal was not flushed", zap.Int("pending", len(r.journal.Pending())), zap.Error(err))
+		if err := r.copies.sync(context.Background()); err != nil {
+			r.log.Error("pending records have no copies", zap.Error(err))
+		}
 	}
 	r.log.Info("router stopped")
 }
--- a/internal/serve/bench_test.go
+++ b/internal/serve/bench_test.go
@@ -46,13 +46,14 @@
 	view    atomic.Pointer[ctrl.View]
 	engine  *fakeEngine
 	journal *fakeJournal
+	copies  *fakeCopies
 	permits *fakePermits
 	lock    sync.Mutex
 	told    []ctrl.Event
 }
 
 func newBench() *bench {
-	b := &bench{engine: &fakeEngine{}, journal: newFakeJournal(), permits: &fakePermits{released: make(chan ident.AttemptID, 16)}}
+	b := &bench{engine: &fakeEngine{}, journal: newFakeJournal(), copies: &fakeCopies{}, permits: &fakePermits{released: make(chan ident.AttemptID, 16)}}
 	b.show(func(*fleet.Snapshot) {})
 	prefixes, err := route.NewPrefixes(1024)
 	Expect(err).NotTo(HaveOccurred())
@@ -66,7 +67,7 @@
 	gates.Refresh(time.Now(), b.view.Load())
 	b.server = serve.New(serve.Parts{
 		Self: fleet.Router{ID: "r1"}, View: b.view.Load, Tell: b.tell, Table: route.NewTable(),
-		Prefixes: prefixes, Gates: gates, Journal: b.journal, Engine: b.engine, Permits: b.permits,
+		Prefixes: prefixes, Gates: gates, Journal: b.journal, Copies: b.copies, Engine: b.engine, Permits: b.permits,
 		Guards: fakeGuards{}, Sealer: sealer, Cache: cache, Budget: retry.NewBudget(0.5), Tracer: tracer,
 		Metrics: metric.New(), Now: time.Now, Log: zap.NewNop(),
 	}, time.Now())
@@ -310,3 +311,20 @@
 	}
 	return nil
 }
+
+// fakeCopies stands for peers that hold copies.
+type fakeCopies struct {
+	lock    sync.Mutex
+	records []shard.Record
+	broken  error
+}
+
+func (f *fakeCopies) Copy(ctx context.Context, records []shard.Record) error {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.records = append(f.records, records...)
+	if f.broken != nil {
+		return f.broken
+	}
+	return ctx.Err()
+}
--- a/internal/serve/claim.go
+++ b/internal/serve/claim.go
@@ -22,6 +22,20 @@
 	unclaimTimeout = 10 * time.Second
 	// unclaimedPause is when to come back after a claim failed.
 	unclaimedPause = 2 * time.Second
+	// copyTimeout bounds the wait for peers to hold a bill that is not durable.
+	copyTimeout = 300 * time.Millisecond
+	// tooLarge is kept in place of an answer that is larger than shard.MaxBody.
+	tooLarge = `{"error":{"code":"answer_not_kept","message":"the call ran, but its answer was too large to keep","ran":"yes"}}`
+)
+
+// billState says what holds a bill when its caller is answered.
+type billState string
+
+const (
+	billDurable billState = "durable" // the platform
+	billCopied  billState = "copied"  // this router and a peer
+	billQueued  billState = "queued"  // this router alone
+	billFailed  billState = "failed"  // nobody
 )
 
 // claim asks the journal for the right to run the request.
@@ -76,34 +90,60 @@
 	r.ask(func() flow.Event {
 		ctx, span := r.server.Tracer.Start(ctx, "bill")
 		defer span.End()
-		ctx, cancel := context.WithTimeout(ctx, settleTimeout)
-		defer cancel()
-		err := r.record(ctx, a, bill)
-		r.countBill(bill, err)
+		records := r.records(a, bill)
+		state, err := r.record(ctx, records)
+		r.countBill(bill, state, err)
 		return flow.Settled{Durable: err == nil}
 	})
 }
 
-func (r *run) record(ctx context.Context, a flow.Settle, bill shard.Bill) error {
+// records gives the bill, with the outcome of a claimed request before it.
+func (r *run) records(a flow.Settle, bill shard.Bill) []shard.Record {
 	if a.Outcome == nil {
-		return r.server.Journal.Bill(ctx, bill)
+		return []shard.Record{bill}
 	}
 	outcome := shard.Outcome{Key: bill.Key, Status: a.Outcome.Status, Body: a.Outcome.Body, At: bill.At}
-	return r.server.Journal.Finish(ctx, outcome, bill)
+	if len(outcome.Body) > shard.MaxBody {
+		outcome.Body = []byte(tooLarge)
+	}
+	return []shard.Record{outcome, bill}
 }
 
-func (r *run) countBill(bill shard.Bill, err error) {
-	state := "durable"
+// record has the journal make the records durable, or else peers hold copies.
+func (r *run) record(ctx context.Context, records []shard.Record) (billState, error) {
+	err := r.commit(ctx, records)
 	switch {
-	case errors.Is(err, shard.ErrQueued):
-		state = "queued"
-	case err != nil:
-		state = "failed"
+	case err == nil:
+		return billDurable, nil
+	case !errors.Is(err, shard.ErrQueued):
+		return billFailed, err
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), copyTimeout)
+	defer cancel()
+	if copyErr := r.server.Copies.Copy(ctx, records); copyErr != nil {
+		r.server.Log.Warn("no peer holds a copy of bill", zap.String("request", r.request.Key.String()), zap.Error(copyErr))
+		return billQueued, err
+	}
+	return billCopied, err
+}
+
+func (r *run) commit(ctx context.Context, records []shard.Record) error {
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	defer cancel()
+	bill := records[len(records)-1].(shard.Bill)
+	if outcome, claimed := records[0].(shard.Outcome); claimed {
+		return r.server.Journal.Finish(ctx, outcome, bill)
+	}
+	return r.server.Journal.Bill(ctx, bill)
+}
+
+func (r *run) countBill(bill shard.Bill, state billState, err error) {
+	if state == billFailed {
 		r.server.Log.Error("bill was not recorded", zap.String("request", bill.Key.String()), zap.Error(err))
 	}
 	r.server.Metrics.Count("bills_total", 1,
 		metric.Label{Name: "team", Value: string(bill.Key.Team)},
-		metric.Label{Name: "state", Value: state})
+		metric.Label{Name: "state", Value: string(state)})
 	r.server.Metrics.Count("billed_micros_total", int64(bill.Cost),
 		metric.Label{Name: "team", Value: string(bill.Key.Team)})
 }
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -55,6 +55,12 @@
 	End(ctx context.Context, ended poison.Ended)
 }
 
+// Copies keeps records at peers while the journal can't make them durable.
+type Copies interface {
+	// Copy returns when at least one peer holds the records, or fails.
+	Copy(ctx context.Context, records []shard.Record) error
+}
+
 // Rater rates answers.
 type Rater interface {
 	Rate(ctx context.Context, answer Answer) (ident.Quality, error)
@@ -79,6 +85,7 @@
 	Prefixes *route.Prefixes
 	Gates    *Gates
 	Journal  Journal
+	Copies   Copies
 	Engine   engine.Engine
 	Permits  Permits
 	Guards   Guards
--- a/internal/setup/settings.go
+++ b/internal/setup/settings.go
@@ -78,7 +78,7 @@
 	return Settings{
 		Log:     Log{Level: "info"},
 		Limits:  Limits{Body: 4 << 20, Header: 32 << 10, Streams: 10000, Idle: time.Minute},
-		Journal: Journal{Shards: 16, Interval: 20 * time.Millisecond, Compact: time.Minute},
+		Journal: Journal{Shards: 16, Interval: 80 * time.Millisecond, Compact: time.Minute},
 		Times: Times{
 			Heartbeat: 500 * time.Millisecond,
 			Report:    250 * time.Millisecond,
--- a/internal/shard/journal.go
+++ b/internal/shard/journal.go
@@ -177,6 +177,28 @@
 	}
 }
 
+// Take queues records like Adopt, and gives those that it had no room for.
+// The others are durable, or in Pending until they are.
+func (j *Journal) Take(ctx context.Context, records []Record) []Record {
+	refused := make([]bool, len(records))
+	var group errgroup.Group
+	group.SetLimit(inboxSize)
+	for i, record := range records {
+		group.Go(func() error {
+			_, refused[i] = j.runner(record).commit(ctx, record, true).(Unavailable)
+			return nil
+		})
+	}
+	_ = group.Wait()
+	var rest []Record
+	for i, record := range records {
+		if refused[i] && !isClaim(record) {
+			rest = append(rest, record)
+		}
+	}
+	return rest
+}
+
 // Flush waits until nothing is pending, or fails when ctx ends.
 func (j *Journal) Flush(ctx context.Context) error {
 	for _, r := range j.runners {
