--- a/internal/scene/platform_test.go
+++ b/internal/scene/platform_test.go
@@ -34,6 +34,22 @@
 		w.expectBilledOnce(answers...)
 	})
 
+	It("that is down while a router dies loses no bill of an answer that it gave", Label("fault=platform-down", "fault=router-killed", "fault=two", "step=bill", "holds=bill"), func() {
+		w := newWorld(nil).start()
+		w.store.SetFaults(stand.Faults{Down: true})
+		var answers []load.Answer
+		for i := range 5 {
+			answer := ask(w.routers[0], fmt.Sprintf("q%d", i), fmt.Sprintf("question %d", i), 10)
+			expectWhole(answer)
+			answers = append(answers, answer)
+		}
+		w.routers[0].Kill().Wait(patience)
+		w.routers = w.routers[1:]
+		w.store.SetFaults(stand.Faults{})
+		Eventually(func() int { return len(w.bills()) }, 2*patience).Should(BeNumerically(">=", len(answers)))
+		w.expectBilledOnce(answers...)
+	})
+
 	It("that loses answers to writes doubles neither bookings nor bills", func() {
 		w := newWorld(nil).start()
 		w.store.SetFaults(stand.Faults{Share: 0.3})
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -1,8 +1,11 @@
 package serve_test
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -227,6 +230,23 @@
 		Expect(b.server.Run(ctx, chat(patient), &reader{}).Refusal).To(BeNil())
 		Expect(b.journal.billed()).To(HaveLen(1))
 	})
+
+	DescribeTable("is answered once peers were asked to hold what is not durable",
+		func(journal, peers error, held int, state string) {
+			b := newBench()
+			b.engine.streams = append(b.engine.streams, stream(3, 3, nil))
+			b.journal.broken, b.copies.broken = journal, peers
+			Expect(b.server.Run(ctx, chat(patient), &reader{}).Refusal).To(BeNil())
+			Expect(b.copies.records).To(HaveLen(held))
+			var text strings.Builder
+			Expect(b.server.Metrics.Expose(&text)).To(Succeed())
+			Expect(text.String()).To(MatchRegexp(`bills_total\{[^}]*state="` + state + `"[^}]*\} 1`))
+		},
+		Entry("durable", nil, nil, 0, "durable"),
+		Entry("copied", Label("fault=platform-down", "step=bill", "step=reply", "holds=bill"), shard.ErrQueued, nil, 1, "copied"),
+		Entry("no peer", Label("fault=platform-down", "fault=peer-cut", "fault=two", "step=bill", "step=reply", "holds=bill"), shard.ErrQueued, errors.New("cut"), 1, "queued"),
+		Entry("failed", shard.ErrFull, nil, 0, "failed"),
+	)
 })
 
 var _ = Describe("A request that must not run twice", func() {
@@ -297,6 +317,20 @@
 		Entry("leaving", Label("fault=list-lags", "step=choose", "holds=leaving"), engine.ErrLeaving, 2, flow.Code(""), flow.RanNo),
 	)
 
+	It("is recorded as run though its answer is too large to keep, with copies of both records", Label("fault=endpoint-lies", "fault=platform-down", "fault=two", "step=bill", "holds=once", "holds=bill"), func() {
+		b := newBench()
+		b.journal.broken = shard.ErrQueued
+		large := bytes.Repeat([]byte("x"), shard.MaxBody+1)
+		b.engine.calls = append(b.engine.calls, func(context.Context, engine.Run) (engine.Answer, error) {
+			return engine.Answer{Status: 200, Body: large}, nil
+		})
+		Expect(b.server.Run(ctx, booking(patient), &reader{}).Refusal).To(BeNil())
+		Expect(b.journal.outcomes).To(HaveLen(1))
+		Expect(json.Valid(b.journal.outcomes[0].Body)).To(BeTrue())
+		Expect(string(b.journal.outcomes[0].Body)).To(And(ContainSubstring("too large"), ContainSubstring(`"ran":"yes"`)))
+		Expect(b.copies.records).To(HaveExactElements(BeAssignableToTypeOf(shard.Outcome{}), BeAssignableToTypeOf(shard.Bill{})))
+	})
+
 	It("gives its claim back when the endpoint rejects it", Label("fault=caller-bad", "step=dispatch", "holds=refusal"), func() {
 		b := newBench()
 		b.engine.calls = append(b.engine.calls, failing(engine.ErrRejected))
