--- a/internal/copies/copies_test.go
+++ b/internal/copies/copies_test.go
@@ -129,6 +129,7 @@
 					deliver := w.sync(n)
 					w.bill(n)
 					deliver()
+					continue // before the loop can mend it
 				case "kill":
 					if len(w.live()) < 3 {
 						continue // two must be left to hold anything
--- a/internal/shard/journal.go
+++ b/internal/shard/journal.go
@@ -178,12 +178,15 @@
 }
 
 // Take queues records like Adopt, and gives those that it had no room for.
-// The others are durable, or in Pending until they are.
+// The others are durable, or in Pending until they are; claims are left out.
 func (j *Journal) Take(ctx context.Context, records []Record) []Record {
 	refused := make([]bool, len(records))
 	var group errgroup.Group
 	group.SetLimit(inboxSize)
 	for i, record := range records {
+		if isClaim(record) {
+			continue
+		}
 		group.Go(func() error {
 			_, refused[i] = j.runner(record).commit(ctx, record, true).(Unavailable)
 			return nil
@@ -192,7 +195,7 @@
 	_ = group.Wait()
 	var rest []Record
 	for i, record := range records {
-		if refused[i] && !isClaim(record) {
+		if refused[i] {
 			rest = append(rest, record)
 		}
 	}
--- a/internal/shard/journal_test.go
+++ b/internal/shard/journal_test.go
@@ -90,6 +90,22 @@
 		}
 	})
 
+	It("tells which records it had no room for, and has the others pending", Label("fault=platform-down", "fault=router-killed", "fault=two", "step=bill", "holds=bill"), func() {
+		p := plat.NewMemory(func(plat.Call) plat.Fault { return plat.FaultDown })
+		s := small()
+		s.Shards, s.Queue = 1, 4
+		j := shard.New("a", s, p, nil, time.Now, metrics.NewRegistry(), zap.NewNop())
+		running, stop := context.WithCancel(ctx)
+		ended := make(chan error, 1)
+		go func() { ended <- j.Run(running) }()
+		Expect(j.Take(ctx, []shard.Record{claim(9, "n"), bill(1), bill(2), bill(3), bill(4)})).To(BeEmpty())
+		Expect(j.Pending()).To(HaveLen(4))
+		Expect(j.Take(ctx, []shard.Record{bill(5)})).To(HaveLen(1))
+		Expect(j.Pending()).To(HaveLen(4))
+		stop()
+		Eventually(ended).Should(Receive(BeNil()))
+	})
+
 	It("refuses claims and keeps bills while the platform is away", func() {
 		var down atomic.Bool
 		p := plat.NewMemory(func(plat.Call) plat.Fault {
