--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -35,6 +35,9 @@
 		{"streams", benchStreams},
 		{"zone", benchZone},
 		{"crash", benchCrash},
+		{"journal", benchJournal},
+		{"gossip", benchGossip},
+		{"admit", benchAdmit},
 	}
 }
 
