--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -35,6 +35,7 @@
 		{"streams", benchStreams},
 		{"zone", benchZone},
 		{"crash", benchCrash},
+		{"poll", benchPoll},
 		{"journal", benchJournal},
 		{"gossip", benchGossip},
 		{"admit", benchAdmit},
