--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VERSION ?= 0.1.0
 BINARIES = marigoldscale marigoldscaled marigoldstand marigoldbench
 
-.PHONY: build test bench demo fmt generate install
+.PHONY: build test bench demo faults fmt generate install
 
 build:
 	go build -ldflags '-X main.version=$(VERSION)' -o bin/ ./cmd/...
@@ -16,6 +16,9 @@
 demo: build
 	./scripts/demo
 
+faults:
+	./scripts/faults
+
 fmt:
 	cd tools && go build -o ../bin/ mvdan.cc/gofumpt
 	git ls-files -co --exclude-standard '*.go' | grep -v '\.pb\.go$$' | xargs -r ./bin/gofumpt -w
--- a/internal/ctrl/event.go
+++ b/internal/ctrl/event.go
@@ -87,10 +87,11 @@
 
 // Rated brings a rating of an answer.
 type Rated struct {
-	Release ident.Release
-	Team    ident.TeamID
-	Class   ident.ClassID
-	Quality ident.Quality
+	Release   ident.Release
+	Team      ident.TeamID
+	Class     ident.ClassID
+	Escalated bool // a cheaper model's answer was not good enough
+	Quality   ident.Quality
 }
 
 // Exposed means that a new session was assigned to a version under roll-out.
--- a/internal/ctrl/member.go
+++ b/internal/ctrl/member.go
@@ -101,6 +101,7 @@
 	for _, r := range c.rollouts {
 		states = append(states, r.State)
 	}
+	c.estimates.Trim(now)
 	c.evidence.Trim(now, c.config, states, func(s roll.Source) bool {
 		r, ok := c.routers[s.Router]
 		return s == c.source || ok && c.live(now, r)
--- a/internal/ctrl/rollout.go
+++ b/internal/ctrl/rollout.go
@@ -33,7 +33,7 @@
 }
 
 func (c *Control) rated(now time.Time, e Rated) {
-	c.estimates.Observe(now, casc.Source(c.source), casc.Key{Class: e.Class, Model: e.Release.Model}, e.Quality)
+	c.estimates.Observe(now, casc.Source(c.source), casc.Key{Class: e.Class, Model: e.Release.Model, Escalated: e.Escalated}, e.Quality)
 	if view, ok := c.look(now, e.Release.Model); ok {
 		c.evidence.Rate(now, c.source, view, e.Team, e.Release, e.Quality)
 	}
--- a/internal/flow/action.go
+++ b/internal/flow/action.go
@@ -78,6 +78,7 @@
 // Report tells how an answered attempt went, for ratings and roll-outs. It is
 // not answered.
 type Report struct {
+	Rung    Rung
 	Release ident.Release
 	Answer  string // kept for rating only as far as needed; empty if it was empty
 	Rate    bool   // have it rated in the background
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -159,6 +159,8 @@
 		table := poison.New(lifetime)
 		h := poison.NewHome(table, time.Minute)
 		table.Record(now, first, []ident.Fingerprint{innocent})
+		Expect(h.Claim(now, claim(innocent, "a"))).To(Equal(poison.Wait{RetryAfter: 250 * time.Millisecond}))
+		now := now.Add(250 * time.Millisecond)
 		Expect(h.Claim(now, claim(innocent, "a"))).To(Equal(poison.Run{Alone: true}))
 		Expect(h.Claim(now, claim(innocent, "a"))).To(Equal(poison.Run{Alone: true}), "a repeated claim")
 		Expect(h.Claim(now, claim(innocent, "b"))).To(BeAssignableToTypeOf(poison.Wait{}))
@@ -169,6 +171,16 @@
 		}
 	})
 
+	It("blames no run for a death that was known before it began", func() {
+		table := poison.New(lifetime)
+		h := poison.NewHome(table, time.Minute)
+		table.Record(now, first, []ident.Fingerprint{killer})
+		later := now.Add(time.Millisecond)
+		Expect(h.Claim(later, claim(innocent, "a"))).To(Equal(poison.Run{}))
+		h.End(later, poison.Ended{Fingerprint: innocent, Attempt: "a", Died: &first})
+		Expect(table.Suspicion(later, innocent)).To(Equal(fleet.SuspicionNone))
+	})
+
 	It("bounds a body again that once ended whole but was suspected since", func() {
 		table := poison.New(lifetime)
 		h := poison.NewHome(table, time.Minute)
--- a/internal/serve/act.go
+++ b/internal/serve/act.go
@@ -103,7 +103,7 @@
 		defer span.End()
 		ctx, cancel := context.WithDeadline(ctx, patience)
 		defer cancel()
-		rating := r.server.rateAnswer(ctx, r.request, release, a.Answer)
+		rating := r.server.rateAnswer(ctx, r.request, release, index > 0, a.Answer)
 		verdict := casc.Judge(r.server.Now(), ladder, index, rating, r.request.Deadline)
 		_, escalate := verdict.(casc.Escalate)
 		r.server.Metrics.Count("cascade_verdicts_total", 1, metric.Label{Name: "accepted", Value: boolName(!escalate)})
@@ -131,7 +131,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, backgroundRating)
 		defer cancel()
-		r.server.rateAnswer(ctx, request, a.Release, a.Answer)
+		r.server.rateAnswer(ctx, request, a.Release, a.Rung.Index > 0, a.Answer)
 	}()
 }
 
--- a/internal/serve/rate.go
+++ b/internal/serve/rate.go
@@ -24,7 +24,7 @@
 )
 
 // rateAnswer asks the rater and tells the control thread what it said.
-func (s *Server) rateAnswer(ctx context.Context, request flow.Request, release ident.Release, answer string) casc.Rating {
+func (s *Server) rateAnswer(ctx context.Context, request flow.Request, release ident.Release, escalated bool, answer string) casc.Rating {
 	if s.Rater == nil {
 		return casc.Unrated{}
 	}
@@ -41,7 +41,13 @@
 		s.Metrics.Count("rater_failures_total", 1)
 		return casc.Unrated{}
 	}
-	s.Tell(ctrl.Rated{Release: release, Team: request.Key.Team, Class: request.Class, Quality: quality})
+	s.Tell(ctrl.Rated{
+		Release:   release,
+		Team:      request.Key.Team,
+		Class:     request.Class,
+		Escalated: escalated,
+		Quality:   quality,
+	})
 	return casc.Rated{Quality: quality}
 }
 
