--- a/internal/router/beat.go
+++ b/internal/router/beat.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math"
 	"time"
 
 	"go.uber.org/zap"
@@ -22,6 +23,8 @@
 	// ageUnit is the unit of ages in heartbeats, and maxAge the largest.
 	ageUnit = 100 * time.Millisecond
 	maxAge  = 255
+	// unconfirmed stands for the age of a confirmation that never was.
+	unconfirmed = math.MaxUint64
 )
 
 // sendBeat sends a heartbeat and tells the control thread what came back.
@@ -41,7 +44,7 @@
 		Router:     routerOf(reply.Router),
 		Asked:      asked,
 		Generation: ident.Generation(reply.Generation),
-		Age:        time.Duration(reply.ConfirmedMillis) * time.Millisecond,
+		Age:        ageOf(reply.ConfirmedMillis),
 		Marks:      a.Marks,
 		Told:       a.Told,
 	})
@@ -70,11 +73,11 @@
 	}
 	p.router.stats.received(request)
 	p.router.tell(ctrl.Beaten{Beat: beat})
-	reply := &wire.BeatReply{Router: wireRouter(p.router.self)}
+	reply := &wire.BeatReply{Router: wireRouter(p.router.self), ConfirmedMillis: unconfirmed}
 	if v := p.router.view.Load(); v != nil {
 		reply.Router = wireRouter(v.Self)
 		reply.Generation = uint64(v.Config.Generation)
-		reply.ConfirmedMillis = uint64(time.Since(v.Confirmed).Milliseconds())
+		reply.ConfirmedMillis = ageMillis(time.Now(), v.Confirmed)
 	}
 	return reply, nil
 }
@@ -196,6 +199,22 @@
 	}
 }
 
+// ageMillis gives the age of a confirmation as it is sent, or unconfirmed.
+func ageMillis(now, confirmed time.Time) uint64 {
+	if confirmed.IsZero() {
+		return unconfirmed
+	}
+	return uint64(max(0, now.Sub(confirmed).Milliseconds()))
+}
+
+// ageOf reads what ageMillis wrote; a negative age stands for no confirmation.
+func ageOf(millis uint64) time.Duration {
+	if millis == unconfirmed {
+		return -1
+	}
+	return time.Duration(millis) * time.Millisecond
+}
+
 // fetchConfig gets a configuration that a peer told of, from the peer itself.
 func (r *Router) fetchConfig(ctx context.Context, a ctrl.FetchConfig) {
 	e, err := r.callFetch(ctx, a)
