--- a/internal/scene/platform_test.go
+++ b/internal/scene/platform_test.go
@@ -50,6 +50,19 @@
 		w.expectBilledOnce(answers...)
 	})
 
+	It("that is down while a router is stopped loses no bill of an answer that it gave", Label("fault=platform-down", "fault=router-replaced", "fault=two", "step=stop", "step=bill", "holds=bill"), func() {
+		w := newWorld(nil).start()
+		w.store.SetFaults(stand.Faults{Down: true})
+		answer := ask(w.routers[0], "q1", "question", 10)
+		expectWhole(answer)
+		w.routers[0].Terminate()
+		Eventually(w.routers[0], 4*patience).Should(gexec.Exit(0))
+		w.routers = w.routers[1:]
+		w.store.SetFaults(stand.Faults{})
+		Eventually(func() int { return len(w.bills()) }, 2*patience).Should(Equal(1))
+		w.expectBilledOnce(answer)
+	})
+
 	It("that loses answers to writes doubles neither bookings nor bills", func() {
 		w := newWorld(nil).start()
 		w.store.SetFaults(stand.Faults{Share: 0.3})
