Judge each run by its own limit, and show the spread of several runs

A bound against a baseline has another limit in each run, but the pages judged all runs by the newest; each run now keeps its own. The two bounds on false withdrawals had one name and were counted as two runs; they carry the size now.

--- a/internal/bench/figures.go
+++ b/internal/bench/figures.go
@@ -31,8 +31,8 @@
 
 // Spread is a bounded figure over several runs.
 type Spread struct {
-	Bound Bound     `json:"bound"` // of the newest run
-	Runs  []float64 `json:"runs"`  // oldest first
+	Name string  `json:"name"`
+	Runs []Bound `json:"runs"` // oldest first, each with the limit of its own run
 }
 
 // savedReport is a report as read back, with the data of sections undecoded.
@@ -70,7 +70,7 @@
 // add takes in one section of all reports that have it.
 func (f *Figures) add(name string, reports []savedReport) {
 	var newest *Figure
-	runs := map[string][]float64{}
+	runs := map[string][]Bound{}
 	for _, r := range reports {
 		for _, s := range r.Sections {
 			if s.Name != name {
@@ -78,7 +78,7 @@
 			}
 			newest = newFigure(r, s)
 			for _, b := range s.Bounds {
-				runs[b.Name] = append(runs[b.Name], b.Value)
+				runs[b.Name] = append(runs[b.Name], b)
 			}
 		}
 	}
@@ -86,7 +86,7 @@
 		return
 	}
 	for i, s := range newest.Spreads {
-		newest.Spreads[i].Runs = runs[s.Bound.Name]
+		newest.Spreads[i].Runs = runs[s.Name]
 	}
 	f.Sections = append(f.Sections, *newest)
 }
@@ -100,7 +100,7 @@
 		f.Data = s.Data
 	}
 	for _, b := range s.Bounds {
-		f.Spreads = append(f.Spreads, Spread{Bound: b})
+		f.Spreads = append(f.Spreads, Spread{Name: b.Name})
 	}
 	return f
 }
--- a/internal/bench/machines.go
+++ b/internal/bench/machines.go
@@ -78,7 +78,7 @@
 			continue
 		}
 		if r.Kind == goodKind {
-			bounds = append(bounds, atMost("false withdrawals, "+r.Kind, r.Withdrawn, roll.Alpha, "of roll-outs"))
+			bounds = append(bounds, atMost("false withdrawals, "+r.Kind+" "+r.Size, r.Withdrawn, roll.Alpha, "of roll-outs"))
 			continue
 		}
 		bounds = append(bounds, atMost("exposed against fixed steps, "+r.Kind+" "+r.Size, r.Exposed, fixed[r.Kind+r.Size], "sessions"))
--- a/internal/bench/pages.go
+++ b/internal/bench/pages.go
@@ -70,25 +70,26 @@
 	for _, x := range s.Spreads {
 		rows = append(rows, x.cells())
 	}
-	return tableText([]string{"bounded figure", "least", "median", "most", "runs", "bound", "unit", "kept in all"}, rows), nil
+	return tableText([]string{"bounded figure", "least", "median", "most", "runs", "newest bound", "unit", "kept in all"}, rows), nil
 }
 
 func (x Spread) cells() []string {
-	runs := slices.Sorted(slices.Values(x.Runs))
+	var values []float64
 	sign, word := "<=", kept
-	if x.Bound.Least {
-		sign = ">="
-	}
-	for _, value := range runs {
-		b := x.Bound
-		b.Value = value
+	for _, b := range x.Runs {
+		values = append(values, b.Value)
 		if !b.Holds() {
 			word = "**no**"
 		}
 	}
+	slices.Sort(values)
+	newest := x.Runs[len(x.Runs)-1]
+	if newest.Least {
+		sign = ">="
+	}
 	return []string{
-		x.Bound.Name, number(runs[0]), number(runs[len(runs)/2]), number(runs[len(runs)-1]),
-		fmt.Sprint(len(runs)), sign + " " + number(x.Bound.Limit), x.Bound.Unit, word,
+		x.Name, number(values[0]), number(values[len(values)/2]), number(values[len(values)-1]),
+		fmt.Sprint(len(values)), sign + " " + number(newest.Limit), newest.Unit, word,
 	}
 }
 
@@ -114,5 +115,5 @@
 	if len(rows) == 0 {
 		return "none."
 	}
-	return tableText([]string{"section", "bounded figure", "least", "median", "most", "runs", "bound", "unit"}, rows)
+	return tableText([]string{"section", "bounded figure", "least", "median", "most", "runs", "newest bound", "unit"}, rows)
 }
--- a/internal/bench/pages_test.go
+++ b/internal/bench/pages_test.go
@@ -46,7 +46,8 @@
 		section := figures.Sections[0]
 		Expect(section.At).To(BeTemporally("==", time.Unix(2000, 0)))
 		Expect(section.Data).To(MatchJSON("5"))
-		Expect(section.Spreads).To(HaveExactElements(HaveField("Runs", []float64{3, 5})))
+		Expect(section.Spreads).To(HaveExactElements(HaveField("Runs", HaveExactElements(
+			HaveField("Value", 3.0), HaveField("Value", 5.0)))))
 	})
 })
 
