--- a/internal/bench/pages.go
+++ b/internal/bench/pages.go
@@ -88,7 +88,7 @@
 		sign = ">="
 	}
 	return []string{
-		x.Name, number(values[0]), number(values[len(values)/2]), number(values[len(values)-1]),
+		x.Name, number(values[0]), number((values[(len(values)-1)/2] + values[len(values)/2]) / 2), number(values[len(values)-1]),
 		fmt.Sprint(len(values)), sign + " " + number(newest.Limit), newest.Unit, word,
 	}
 }
