--- a/internal/faults/page.go
+++ b/internal/faults/page.go
@@ -91,9 +91,13 @@
 	return numbers
 }
 
-// letter names the n-th reason, from 1.
+// letter names the n-th reason, from 1: a to z, then aa, ab and so on.
 func letter(n int) string {
-	return string(rune('a' + n - 1))
+	const letters = 26
+	if n <= letters {
+		return string(rune('a' + n - 1))
+	}
+	return letter((n-1)/letters) + letter((n-1)%letters+1)
 }
 
 func writePromises(b *strings.Builder, proofs []Proof) {
