Start a router while the platform is away, and order engines to their release

Cause: a router that started in an outage knew of no peer, so it could not serve until the platform was back; and the fenced orders had no caller. Change: settings may name peers to ask at the start; a zone's steward has an engine load the release that is declared where it reports another one, with its term as fencing number, read back. Endpoints that share an address are left to operators.

--- a/internal/ctrl/control.go
+++ b/internal/ctrl/control.go
@@ -133,6 +133,8 @@
 		c.exposed(now, e)
 	case Withdraw:
 		return c.withdraw(now, e.Withdrawal)
+	case Ordered:
+		return c.ordered(now, e.Endpoint, e.Event)
 	case Wrote:
 		return c.wrote(e)
 	case Leased, LeaseRead, LeaseUnread, AskPermit, GiveBack:
--- a/internal/ctrl/steward.go
+++ b/internal/ctrl/steward.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/marigoldscale/marigoldscale/internal/fence"
 	"github.com/marigoldscale/marigoldscale/internal/permit"
 	"github.com/marigoldscale/marigoldscale/pkg/ident"
 )
@@ -17,6 +18,7 @@
 // steward is this router's part in one zone's stewardship.
 type steward struct {
 	machine *permit.Steward
+	orders  *fence.Orders
 	tickets map[ident.AttemptID]Ticket // questions not yet answered
 	reading bool
 	read    time.Time // last read of the lease
@@ -35,7 +37,7 @@
 			continue
 		}
 		if !ok {
-			s = &steward{machine: permit.New(c.self.ID, c.settings.Permit), tickets: map[ident.AttemptID]Ticket{}}
+			s = &steward{machine: permit.New(c.self.ID, c.settings.Permit), orders: fence.New(), tickets: map[ident.AttemptID]Ticket{}}
 			c.stewards[zone] = s
 		}
 		c.stepSteward(now, zone, s, permit.Rank{Place: place})
@@ -44,6 +46,7 @@
 			actions = append(actions, c.stepSteward(now, zone, s, permit.Tick{})...)
 		}
 		actions = append(actions, c.watchLease(now, zone, s)...)
+		actions = append(actions, c.order(now, zone, s)...)
 	}
 	return actions
 }
--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -135,6 +135,16 @@
 	}
 }
 
+// Ordered reads the order that an engine took last; its fence is 0 if it took
+// none.
+func (h *HTTP) Ordered(ctx context.Context, address string) (Order, error) {
+	var order Order
+	if err := h.get(ctx, "http://"+address+"/orders", &order); err != nil {
+		return Order{}, fmt.Errorf("reading orders of %s: %w", address, err)
+	}
+	return order, nil
+}
+
 func (h *HTTP) get(ctx context.Context, url string, into any) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
--- a/internal/router/control.go
+++ b/internal/router/control.go
@@ -86,6 +86,10 @@
 		go r.putLease(ctx, a)
 	case ctrl.ReadLease:
 		go r.readLease(ctx, a)
+	case ctrl.SendOrder:
+		go r.sendOrder(ctx, a)
+	case ctrl.ReadOrder:
+		go r.readOrder(ctx, a)
 	case ctrl.AnswerPermit:
 		r.asked.answer(a.Ticket, a)
 	case ctrl.AnswerClaim:
--- /dev/null
+++ b/internal/router/order.go
@@ -0,0 +1,64 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/marigoldscale/marigoldscale/internal/ctrl"
+	"github.com/marigoldscale/marigoldscale/internal/engine"
+	"github.com/marigoldscale/marigoldscale/internal/fence"
+)
+
+// orderLoad is the kind of order by which an engine loads a release.
+const orderLoad = "load"
+
+// sendOrder sends an order, unless the lease that it rests on may have ended.
+func (r *Router) sendOrder(ctx context.Context, a ctrl.SendOrder) {
+	answered := fence.Answered{Endpoint: a.Endpoint.ID, Term: a.Send.Term, Result: fence.ResultUnknown}
+	if time.Now().Before(a.Send.Before) {
+		call, cancel := context.WithTimeout(ctx, a.Send.Timeout)
+		defer cancel()
+		err := r.engine.Order(call, a.Endpoint.Address, engine.Order{
+			Kind:    orderLoad,
+			Release: a.Send.State.Release,
+			Role:    a.Send.State.Role,
+			Fence:   a.Send.Term,
+		})
+		r.log.Info("ordered endpoint to load its release",
+			zap.String("endpoint", string(a.Endpoint.ID)),
+			zap.String("release", a.Send.State.Release.String()),
+			zap.Uint64("fence", uint64(a.Send.Term)),
+			zap.Error(err))
+		answered.Result = orderResult(err)
+	}
+	r.post(ctx, ctrl.Ordered{Endpoint: a.Endpoint.ID, Event: answered})
+}
+
+func orderResult(err error) fence.Result {
+	switch {
+	case err == nil:
+		return fence.ResultTaken
+	case errors.Is(err, engine.ErrFenced):
+		return fence.ResultFenced
+	default:
+		return fence.ResultUnknown
+	}
+}
+
+// readOrder reads what an endpoint was last ordered to hold.
+func (r *Router) readOrder(ctx context.Context, a ctrl.ReadOrder) {
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	order, err := r.engine.Ordered(call, a.Endpoint.Address)
+	if err != nil {
+		return // read again at the orders' own interval
+	}
+	r.post(ctx, ctrl.Ordered{Endpoint: a.Endpoint.ID, Event: fence.Held{
+		Endpoint: a.Endpoint.ID,
+		State:    fence.State{Release: order.Release, Loaded: order.Kind == orderLoad, Role: order.Role},
+		Term:     order.Fence,
+	}})
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -214,6 +214,7 @@
 	group.Go(func() error { return r.journal.Run(work) })
 	group.Go(func() error { return r.pollLoop(work) })
 	group.Go(func() error { return r.watchLoop(work) })
+	group.Go(func() error { return r.seedLoop(work) })
 	group.Go(func() error { return r.permits.loop(work) })
 	group.Go(func() error { return r.copies.loop(work) })
 	group.Go(func() error { return closed(r.rpc.Serve(r.peerLinks)) })
--- /dev/null
+++ b/internal/router/seed.go
@@ -0,0 +1,52 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/marigoldscale/marigoldscale/internal/ctrl"
+	"github.com/marigoldscale/marigoldscale/internal/fleet"
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+// seedInterval is the time between rounds of asking the peers named in the
+// settings.
+const seedInterval = time.Second
+
+// seedLoop makes this router known to the peers that its settings name, until
+// it knows another router. It needs no platform, so that a router can start
+// while that is away.
+func (r *Router) seedLoop(ctx context.Context) error {
+	for ctx.Err() == nil && len(r.settings.Peers) > 0 {
+		if v := r.view.Load(); v != nil && len(v.Routers) > 1 {
+			return nil
+		}
+		for _, address := range r.settings.Peers {
+			if address != r.self.Peer {
+				r.seed(ctx, address)
+			}
+		}
+		pause(ctx, seedInterval)
+	}
+	return nil
+}
+
+func (r *Router) seed(ctx context.Context, address string) {
+	asked := time.Now()
+	reply, err := r.callBeat(ctx, ctrl.SendBeat{
+		To:   fleet.Router{Peer: address},
+		Beat: ctrl.Beat{Router: r.self},
+	})
+	if err != nil {
+		r.log.Debug("asking peer of the settings", zap.String("address", address), zap.Error(err))
+		return
+	}
+	r.post(ctx, ctrl.Acked{
+		Router:     routerOf(reply.Router),
+		Asked:      asked,
+		Generation: ident.Generation(reply.Generation),
+		Age:        ageOf(reply.ConfirmedMillis),
+	})
+}
--- a/internal/setup/load.go
+++ b/internal/setup/load.go
@@ -132,6 +132,7 @@
 		input.Text("peer", acceptedAddress, "", input.IsAddress, func(s *Settings) *string { return &s.Peer }).Require(),
 		input.Text("platform", acceptedURL, "", input.IsURL, func(s *Settings) *string { return &s.Platform }).Require(),
 		input.Text("rater", acceptedURL, `""`, emptyOr(input.IsURL), func(s *Settings) *string { return &s.Rater }),
+		input.Texts("peers", "a list of host:port", input.IsAddress, func(s *Settings) *[]string { return &s.Peers }),
 	}
 }
 
--- a/internal/setup/load_test.go
+++ b/internal/setup/load_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -104,7 +105,7 @@
 	}
 	f.Fuzz(func(t *testing.T, text []byte) {
 		s, problems := setup.Read(input.File{Path: "r.toml", Text: text})
-		if len(problems) > 0 && s != (setup.Settings{}) {
+		if len(problems) > 0 && !reflect.DeepEqual(s, setup.Settings{}) {
 			t.Fatalf("settings %+v with problems %v", s, problems)
 		}
 	})
--- a/internal/setup/settings.go
+++ b/internal/setup/settings.go
@@ -11,11 +11,12 @@
 type Settings struct {
 	Router   ident.RouterID // a replaced router takes a new name
 	Zone     ident.ZoneID
-	Listen   string // host:port for callers
-	Admin    string // host:port for operators and metrics
-	Peer     string // host:port for other routers
-	Platform string // URL of the platform's object API
-	Rater    string // URL of the service that rates answers; empty for none
+	Listen   string   // host:port for callers
+	Admin    string   // host:port for operators and metrics
+	Peer     string   // host:port for other routers
+	Platform string   // URL of the platform's object API
+	Rater    string   // URL of the service that rates answers; empty for none
+	Peers    []string // host:port of routers to ask when the platform is away at the start
 	Log      Log
 	TLS      TLS
 	Trace    Trace
