Drop what nothing calls: a second view of membership, reservations

Cause: a reading as a newcomer found two memberships, gossip.View and the control machine's own, and only the second is used; Table.Reserve lost its caller when stewards began to grant sole suspects; Team.MayFallTo never had one. That a router which hears nothing stops serving in time is still proved in internal/ctrl.

--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -138,16 +138,6 @@
 	return false
 }
 
-// MayFallTo tells whether a cheaper model may answer for the team.
-func (t *Team) MayFallTo(model ident.ModelID) bool {
-	for _, m := range t.Cheaper {
-		if m == model {
-			return true
-		}
-	}
-	return false
-}
-
 // Has tells whether the version is declared and not withdrawn.
 func (m *Model) Has(version ident.VersionID) bool {
 	for _, v := range m.Withdrawn {
--- a/internal/gossip/bench_test.go
+++ b/internal/gossip/bench_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"testing"
-	"time"
 
 	"github.com/marigoldscale/marigoldscale/internal/fleet"
 	"github.com/marigoldscale/marigoldscale/internal/gossip"
@@ -26,16 +25,6 @@
 	}
 }
 
-func BenchmarkStep(b *testing.B) {
-	list := routers(360)
-	v := gossip.New(list[0])
-	v.Step(start, gossip.Listed{Routers: list})
-	b.ReportAllocs()
-	for i := range b.N {
-		v.Step(start.Add(time.Duration(i)), gossip.Heard{Router: list[1+i%359], At: start})
-	}
-}
-
 // BenchmarkMeasure prints the comparison of ways to spread an item.
 func BenchmarkMeasure(b *testing.B) {
 	for b.Loop() {
--- a/internal/gossip/fresh.go
+++ b/internal/gossip/fresh.go
@@ -42,3 +42,13 @@
 	}
 	return StandingAlone
 }
+
+// Silence gives how long a router of a fleet may not be heard of before it is
+// taken for dead. Word of a router takes more rounds through a larger fleet, see
+// Ages.
+func Silence(routers int) time.Duration {
+	if routers <= maxAllPairs {
+		return 3 * heartbeatAll
+	}
+	return 15 * time.Second
+}
--- a/internal/gossip/targets.go
+++ b/internal/gossip/targets.go
@@ -1,5 +1,5 @@
-// Package gossip decides which peers a router sends to, which routers it holds
-// to be alive, and whether its configuration is fresh enough to serve.
+// Package gossip decides which peers a router sends to, how long one may be
+// silent, and whether its configuration is fresh enough to serve.
 package gossip
 
 import (
--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -103,7 +103,7 @@
 	}
 	l := t.Load(now, e.Spec.ID, reportedAt(e))
 	q := depth(now, s, e, l)
-	if l.Reserved || r.Alone && !empty(now, e, l) {
+	if r.Alone && !empty(now, e, l) {
 		return candidate{}, ReasonBusy
 	}
 	cold := e.Phase == fleet.PhaseCold
--- a/internal/route/load.go
+++ b/internal/route/load.go
@@ -31,7 +31,6 @@
 	observed time.Time // of factor
 	cut      time.Time // last decrease of limit
 	backoff  time.Time
-	reserved time.Time
 	history  [historySize]change // a ring, the newest at newest
 	newest   int
 	changed  time.Time // when running last changed
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -31,13 +31,12 @@
 
 // Load is a copy of what a Table knows of one endpoint.
 type Load struct {
-	Running  int           `json:"running"`  // own attempts in flight
-	Limit    float64       `json:"limit"`    // own attempts allowed, 0 before the first attempt
-	Factor   float64       `json:"factor"`   // observed time to the first token over the expected one
-	Backoff  time.Duration `json:"backoff"`  // time left in which nothing is sent after a refusal
-	Reserved bool          `json:"reserved"` // for a request that must run alone
-	Service  time.Duration `json:"service"`  // mean time that an attempt stays in flight
-	Added    int           `json:"added"`    // own attempts in flight beyond those at the time of the report
+	Running int           `json:"running"` // own attempts in flight
+	Limit   float64       `json:"limit"`   // own attempts allowed, 0 before the first attempt
+	Factor  float64       `json:"factor"`  // observed time to the first token over the expected one
+	Backoff time.Duration `json:"backoff"` // time left in which nothing is sent after a refusal
+	Service time.Duration `json:"service"` // mean time that an attempt stays in flight
+	Added   int           `json:"added"`   // own attempts in flight beyond those at the time of the report
 }
 
 // NewTable gives a table that knows of no load.
@@ -82,25 +81,15 @@
 	l.lock.Lock()
 	defer l.lock.Unlock()
 	return Load{
-		Running:  l.running,
-		Reserved: now.Before(l.reserved),
-		Limit:    l.limit,
-		Factor:   l.correction(now),
-		Backoff:  max(0, l.backoff.Sub(now)),
-		Service:  l.service(),
-		Added:    l.running - l.before(reported),
+		Running: l.running,
+		Limit:   l.limit,
+		Factor:  l.correction(now),
+		Backoff: max(0, l.backoff.Sub(now)),
+		Service: l.service(),
+		Added:   l.running - l.before(reported),
 	}
 }
 
-// Reserve keeps an endpoint free of further requests for a time, because one on
-// it must run alone, here or on another router; 0 ends the reservation.
-func (t *Table) Reserve(now time.Time, endpoint ident.EndpointID, lifetime time.Duration) {
-	l := t.load(endpoint)
-	l.lock.Lock()
-	defer l.lock.Unlock()
-	l.reserved = now.Add(lifetime)
-}
-
 // Retain forgets every endpoint that the snapshot does not hold and on which
 // nothing is in flight.
 func (t *Table) Retain(s *fleet.Snapshot) {
--- a/internal/route/table_test.go
+++ b/internal/route/table_test.go
@@ -60,14 +60,6 @@
 		Expect(t.Load(now, "e", now.Add(time.Second)).Added).To(Equal(2))
 		Expect(t.Load(now, "e", now.Add(4*time.Second)).Added).To(Equal(0))
 	})
-
-	It("keeps a reserved endpoint free until the reservation lapses", func() {
-		s, t := snapshot(1), route.NewTable()
-		t.Reserve(now, "e00", time.Second)
-		Expect(choose(s, route.Request{}, t)).To(BeAssignableToTypeOf(route.Wait{}))
-		t.Reserve(now, "e00", 0)
-		Expect(choose(s, route.Request{}, t)).To(BeAssignableToTypeOf(route.Send{}))
-	})
 })
 
 var _ = Describe("Prefixes", func() {
