--- a/internal/bench/machines.go
+++ b/internal/bench/machines.go
@@ -38,6 +38,7 @@
 	for _, r := range rows {
 		s.Rows = append(s.Rows, []string{number(float64(r.Load)), r.Policy, millis(r.P50), millis(r.P95), millis(r.P99)})
 	}
+	s.Bounds = routeBounds(rows)
 	p95 := map[string]float64{}
 	for i := range uint64(routeSeeds) {
 		for _, r := range route.Measure(seed + i) {
@@ -53,6 +54,22 @@
 	return s, nil
 }
 
+// routeBounds compares the policies on the run's own seed.
+func routeBounds(rows []route.Row) []Bound {
+	p95 := map[string]float64{}
+	for _, r := range rows {
+		p95[fmt.Sprint(r.Load, r.Policy)] = r.P95.Seconds()
+	}
+	var bounds []Bound
+	for _, load := range []string{"0.5", "0.8", "0.95", "1.2"} {
+		for _, baseline := range []string{policyRandom, policyTurn, policyLeast} {
+			name := fmt.Sprintf("p95 at %s load against %s", load, baseline)
+			bounds = append(bounds, atMost(name, p95[load+policyOurs], p95[load+baseline], "s"))
+		}
+	}
+	return bounds
+}
+
 func benchRollout(seed uint64) (Section, error) {
 	rows := roll.Measure(seed)
 	s := Section{
