--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,13 +23,19 @@
 	exitSettings = 2
 )
 
-// arguments are the daemon's flags.
+// arguments are the daemon's commands and flags.
 type arguments struct {
-	Config  string           `required:"" help:"Settings file, in TOML." type:"path"`
-	Check   bool             `help:"Check the settings and exit."`
+	Serve   serveCommand     `cmd:"" default:"withargs" help:"Route between callers and model engines (default)."`
+	Relay   relayCommand     `cmd:"" help:"Route pass-through requests on a platform that is a store of objects."`
 	Version kong.VersionFlag `help:"Print the version and exit."`
 }
 
+// serveCommand runs the router with its own interface.
+type serveCommand struct {
+	Config string `required:"" help:"Settings file, in TOML." type:"path"`
+	Check  bool   `help:"Check the settings and exit."`
+}
+
 // Main runs the daemon until it is told to stop, and gives its exit code.
 func Main(version string, args []string) int {
 	var flags arguments
@@ -41,16 +47,25 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
-	if _, err := parser.Parse(args); err != nil {
+	chosen, err := parser.Parse(args)
+	if err != nil {
 		fmt.Fprintf(os.Stderr, "marigoldscaled: %v\n", err)
 		return exitSettings
 	}
-	settings, err := setup.Load(flags.Config)
+	if chosen.Command() == "relay" {
+		return flags.Relay.run()
+	}
+	return flags.Serve.run()
+}
+
+// run runs the router until it is told to stop, and gives its exit code.
+func (c serveCommand) run() int {
+	settings, err := setup.Load(c.Config)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
-	if flags.Check {
+	if c.Check {
 		return exitOK
 	}
 	return run(settings)
--- /dev/null
+++ b/internal/pass/action.go
@@ -0,0 +1,95 @@
+package pass
+
+import (
+	"time"
+
+	"github.com/marigoldscale/marigoldscale/internal/route"
+	"github.com/marigoldscale/marigoldscale/internal/world"
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+// Action is what the relay is to do: Place, Dispatch, Open, Emit, Close,
+// Reply, Refuse, Abort, Cancel, Wake or Report.
+type Action interface{ action() }
+
+// Place asks for an endpoint; Placed or Unplaced answers it.
+type Place struct {
+	Attempt Attempt
+	Model   ident.ModelID
+	Exclude []ident.EndpointID
+}
+
+// Dispatch sends the request to an endpoint.
+type Dispatch struct {
+	Attempt  Attempt
+	Endpoint *world.Endpoint
+	Model    ident.ModelID // "" if the caller's stays
+	After    int64         // id of the last event that need not come again
+}
+
+// Open begins a stream's answer with the head of an attempt.
+type Open struct{ Attempt Attempt }
+
+// Emit passes an event on.
+type Emit struct{ Data []byte }
+
+// Close ends a stream's answer as complete.
+type Close struct{}
+
+// Reply passes a whole answer on.
+type Reply struct{ Attempt Attempt }
+
+// Refuse answers with a failure of the router's own.
+type Refuse struct {
+	Status int
+	After  time.Duration // when to come back, 0 for no word on it
+	Reason Reason
+}
+
+// Abort breaks the answer off, so that it does not look complete.
+type Abort struct{ Reason Reason }
+
+// Cancel closes an attempt's connection.
+type Cancel struct{ Attempt Attempt }
+
+// Wake asks for Woken at a time.
+type Wake struct{ At time.Time }
+
+// Report tells how an attempt fared, for the tables of load and evidence.
+type Report struct {
+	Attempt  Attempt
+	Endpoint *world.Endpoint
+	Model    ident.ModelID
+	Outcome  route.Outcome
+	Failed   bool          // the endpoint failed a request that it ran
+	First    time.Duration // to the answer or first event, 0 if none came
+	Base     time.Duration // that was expected, without correction by experience
+	Uncached ident.Tokens  // read for it, as far as was foreseen
+}
+
+func (Place) action()    {}
+func (Dispatch) action() {}
+func (Open) action()     {}
+func (Emit) action()     {}
+func (Close) action()    {}
+func (Reply) action()    {}
+func (Refuse) action()   {}
+func (Abort) action()    {}
+func (Cancel) action()   {}
+func (Wake) action()     {}
+func (Report) action()   {}
+
+// Reason says why a request was not answered in full, as it stands in logs.
+type Reason string
+
+// The reasons.
+const (
+	ReasonNoEndpoint Reason = "no endpoint"   // none may get the request now
+	ReasonFull       Reason = "full"          // the endpoint refused it as too much
+	ReasonLate       Reason = "too late"      // it cannot be answered in its time
+	ReasonTimeout    Reason = "timeout"       // no answer came in time
+	ReasonBroken     Reason = "broken"        // an attempt broke, and no other may follow
+	ReasonBudget     Reason = "retry budget"  // other attempts have used their share of the load
+	ReasonLeft       Reason = "caller left"   // the caller closed the connection
+	ReasonInvalid    Reason = "invalid reply" // an endpoint's answer was not its own or not whole
+)
--- a/internal/plat/client.go
+++ b/internal/plat/client.go
@@ -21,6 +21,8 @@
 const (
 	// maxReply is the largest reply that the client reads, in bytes.
 	maxReply = 64 << 20
+	// maxPages bounds the pages of one list, against a reply that never ends.
+	maxPages = 1000
 	// watchGrace is how long a reply to a watch may be late.
 	watchGrace    = 2 * time.Second
 	headerVersion = "X-Version"
@@ -31,11 +33,12 @@
 
 // Client speaks the platform's HTTP protocol. It is safe for concurrent use.
 type Client struct {
-	base   string
-	http   *http.Client
-	budget *Budget
-	retry  Retry
-	meter  [classCount]meter
+	base    string
+	http    *http.Client
+	budget  *Budget
+	retry   Retry
+	dialect Dialect
+	meter   [classCount]meter
 }
 
 // Retry bounds how reads are tried again.
@@ -43,11 +46,12 @@
 	Attempts int           // tries of one read, the first included
 	Pause    time.Duration // mean pause before the second try; it doubles
 	Timeout  time.Duration // of one try
+	Grace    time.Duration // by which the reply to a watch may be late
 }
 
 // DefaultRetry suits a platform that answers in milliseconds.
 func DefaultRetry() Retry {
-	return Retry{Attempts: 3, Pause: 20 * time.Millisecond, Timeout: 2 * time.Second}
+	return Retry{Attempts: 3, Pause: 20 * time.Millisecond, Timeout: 2 * time.Second, Grace: watchGrace}
 }
 
 // meter counts the calls of one class.
@@ -65,7 +69,13 @@
 // NewClient makes a client of the platform at base, as in http://host:port.
 // It counts calls and bytes by class in registry.
 func NewClient(base string, h *http.Client, b *Budget, r Retry, registry metrics.Registry) *Client {
-	c := &Client{base: base, http: h, budget: b, retry: r}
+	return NewDialect(base, h, b, r, registry, plain{})
+}
+
+// NewDialect makes a client of a platform that spells its calls as dialect
+// does.
+func NewDialect(base string, h *http.Client, b *Budget, r Retry, registry metrics.Registry, dialect Dialect) *Client {
+	c := &Client{base: base, http: h, budget: b, retry: r, dialect: dialect}
 	for i := range c.meter {
 		c.meter[i] = newMeter(registry, Class(i))
 	}
@@ -74,28 +84,52 @@
 
 // Get reads an object, or fails with ErrAbsent.
 func (c *Client) Get(ctx context.Context, class Class, key Key) (Object, error) {
-	r, err := c.read(ctx, class, "/v1/objects/"+escape(key), c.retry.Timeout)
+	r, err := c.read(ctx, class, c.dialect.Get(key), c.retry.Timeout)
+	if err != nil {
+		return Object{}, fmt.Errorf("get %q: %w", key, err)
+	}
+	o, err := c.dialect.Object(key, r.version, r.body)
 	if err != nil {
 		return Object{}, fmt.Errorf("get %q: %w", key, err)
 	}
-	return Object{Key: key, Version: r.version, Value: r.body}, nil
+	return o, nil
 }
 
 // List reads all objects whose key begins with prefix, sorted by key.
 func (c *Client) List(ctx context.Context, class Class, prefix Key) ([]Object, error) {
-	r, err := c.read(ctx, class, "/v1/objects?prefix="+url.QueryEscape(string(prefix)), c.retry.Timeout)
-	if err != nil {
-		return nil, fmt.Errorf("list %q: %w", prefix, err)
-	}
-	var reply wireList
-	if err := json.Unmarshal(r.body, &reply); err != nil {
-		return nil, fmt.Errorf("list %q: reply is not valid: %w", prefix, err)
-	}
-	objects := make([]Object, len(reply.Objects))
-	for i, o := range reply.Objects {
-		objects[i] = Object(o)
+	objects, _, err := c.ListAt(ctx, class, prefix)
+	return objects, err
+}
+
+// ListAt reads all objects whose key begins with prefix, with the version of
+// the store from which a watch goes on. Of several pages it is the first
+// page's, so that the watch repeats changes rather than misses them. It is 0
+// for a platform that does not tell.
+func (c *Client) ListAt(ctx context.Context, class Class, prefix Key) ([]Object, Version, error) {
+	var objects []Object
+	var upto Version
+	var after Key
+	for pages := 1; ; pages++ {
+		r, err := c.read(ctx, class, c.dialect.List(prefix, after), c.retry.Timeout)
+		if err != nil {
+			return nil, 0, fmt.Errorf("list %q: %w", prefix, err)
+		}
+		page, err := c.dialect.Page(prefix, r.body)
+		if err != nil {
+			return nil, 0, fmt.Errorf("list %q: reply is not valid: %w", prefix, err)
+		}
+		objects = append(objects, page.Objects...)
+		if pages == 1 {
+			upto = page.Upto
+		}
+		if page.Next == "" {
+			return objects, upto, nil
+		}
+		if pages >= maxPages || page.Next == after {
+			return nil, 0, fmt.Errorf("list %q: reply of page %d names no end: %w", prefix, pages, ErrUnavailable)
+		}
+		after = page.Next
 	}
-	return objects, nil
 }
 
 // Put writes value if the object's version is expect.
@@ -103,19 +137,21 @@
 	if len(value) > MaxValue {
 		return 0, fmt.Errorf("put %q: value of %d bytes is over the limit of %d", key, len(value), MaxValue)
 	}
-	r, err := c.write(ctx, class, http.MethodPut, "/v1/objects/"+escape(key), value, expect)
+	method, path, body := c.dialect.Put(key, value, expect)
+	r, err := c.write(ctx, class, method, path, body, expect)
 	if err != nil {
 		return 0, fmt.Errorf("put %q: %w", key, err)
 	}
-	if r.version == 0 {
+	version := c.dialect.Written(r.version, r.body)
+	if version == 0 {
 		return 0, fmt.Errorf("put %q: reply names no version: %w", key, ErrUncertain)
 	}
-	return r.version, nil
+	return version, nil
 }
 
 // Delete removes the object if its version is expect.
 func (c *Client) Delete(ctx context.Context, class Class, key Key, expect Version) error {
-	if _, err := c.write(ctx, class, http.MethodDelete, "/v1/objects/"+escape(key), nil, expect); err != nil {
+	if _, err := c.write(ctx, class, http.MethodDelete, c.dialect.Delete(key, expect), nil, expect); err != nil {
 		return fmt.Errorf("delete %q: %w", key, err)
 	}
 	return nil
@@ -123,20 +159,15 @@
 
 // Watch waits up to wait for changes under prefix later than after.
 func (c *Client) Watch(ctx context.Context, class Class, prefix Key, after Version, wait time.Duration) ([]Change, Version, error) {
-	path := fmt.Sprintf("/v1/watch?prefix=%s&after=%d&wait=%d", url.QueryEscape(string(prefix)), after, wait.Milliseconds())
-	r, err := c.read(ctx, class, path, wait+watchGrace)
+	r, err := c.read(ctx, class, c.dialect.Watch(prefix, after, wait), wait+c.retry.Grace)
 	if err != nil {
 		return nil, 0, fmt.Errorf("watch %q: %w", prefix, err)
 	}
-	var reply wireWatch
-	if err := json.Unmarshal(r.body, &reply); err != nil {
+	changes, upto, err := c.dialect.Changes(prefix, r.body)
+	if err != nil {
 		return nil, 0, fmt.Errorf("watch %q: reply is not valid: %w", prefix, err)
 	}
-	changes := make([]Change, len(reply.Changes))
-	for i, w := range reply.Changes {
-		changes[i] = Change{Object: Object{Key: w.Key, Version: w.Version, Value: w.Value}, At: w.At}
-	}
-	return changes, reply.Upto, nil
+	return changes, upto, nil
 }
 
 // Instances lists the live and leaving instances.
@@ -246,11 +277,13 @@
 // judge turns a whole response into a reply or an error.
 func (c *Client) judge(method string, response *http.Response, text []byte) (reply, error) {
 	switch response.StatusCode {
-	case http.StatusOK, http.StatusNoContent:
+	case http.StatusOK, http.StatusCreated, http.StatusNoContent:
 		version, _ := strconv.ParseUint(response.Header.Get(headerVersion), 10, 64)
 		return reply{version: Version(version), body: text}, nil
 	case http.StatusNotFound:
 		return reply{}, ErrAbsent
+	case http.StatusGone:
+		return reply{}, ErrCompacted
 	case http.StatusConflict, http.StatusPreconditionFailed:
 		return reply{}, ErrConflict
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
@@ -271,11 +304,6 @@
 	return fmt.Errorf("%w: %w", ErrUncertain, err)
 }
 
-// escape keeps the slashes of a key and escapes its parts.
-func escape(key Key) string {
-	return (&url.URL{Path: string(key)}).EscapedPath()
-}
-
 // jitter spreads a pause from half to one and a half of its length, so that
 // clients that failed together don't return together.
 func jitter(pause time.Duration) time.Duration {
--- a/internal/plat/plat.go
+++ b/internal/plat/plat.go
@@ -49,6 +49,9 @@
 	ErrConflict = errors.New("object has another version")
 	// ErrUncertain means that a write may or may not have taken effect.
 	ErrUncertain = errors.New("outcome of the write is not known")
+	// ErrCompacted means that the platform has dropped the history that a watch
+	// would go on from; the objects must be listed again.
+	ErrCompacted = errors.New("history of the store is gone")
 	// ErrUnavailable means that the call had no effect: the platform is away or
 	// the call budget is used up.
 	ErrUnavailable = errors.New("platform is not available")
--- a/internal/plat/stand_test.go
+++ b/internal/plat/stand_test.go
@@ -35,7 +35,7 @@
 		}))
 		DeferCleanup(func() { server.Close() })
 		rate := plat.Rate{Calls: 10000, Burst: 1000}
-		retry := plat.Retry{Attempts: 3, Pause: time.Millisecond, Timeout: 200 * time.Millisecond}
+		retry := plat.Retry{Attempts: 3, Pause: time.Millisecond, Timeout: 200 * time.Millisecond, Grace: time.Second}
 		client = plat.NewClient(server.URL, server.Client(), plat.NewBudget(rate, rate, time.Now), retry, metrics.NewRegistry())
 	})
 
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -19,13 +19,21 @@
 type Budget struct {
 	lock   sync.Mutex
 	share  ident.Share
+	burst  float64
+	floor  float64
 	tokens float64
 	last   time.Time
 }
 
 // NewBudget gives a budget of extra attempts as a share of first attempts.
 func NewBudget(share ident.Share) *Budget {
-	return &Budget{share: share, tokens: budgetBurst}
+	return NewLimited(share, budgetBurst, budgetFloor)
+}
+
+// NewLimited gives a budget that saves up at most burst extra attempts, and
+// earns floor extra attempts a second at any load.
+func NewLimited(share ident.Share, burst, floor float64) *Budget {
+	return &Budget{share: share, burst: burst, floor: floor, tokens: burst}
 }
 
 // Earn records a first attempt.
@@ -33,7 +41,7 @@
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	b.refill(now)
-	b.tokens = math.Min(b.tokens+float64(b.share), budgetBurst)
+	b.tokens = math.Min(b.tokens+float64(b.share), b.burst)
 }
 
 // Take asks for one extra attempt, and tells whether it is allowed.
@@ -53,6 +61,6 @@
 		b.last = now
 		return
 	}
-	b.tokens = math.Min(b.tokens+now.Sub(b.last).Seconds()*budgetFloor, budgetBurst)
+	b.tokens = math.Min(b.tokens+now.Sub(b.last).Seconds()*b.floor, b.burst)
 	b.last = now
 }
--- a/internal/roll/roll.go
+++ b/internal/roll/roll.go
@@ -16,7 +16,10 @@
 type Decision interface{ decision() }
 
 // Hold leaves the roll-out at its step.
-type Hold struct{ Reason string }
+type Hold struct {
+	Reason     string
+	Suspicious bool // the evidence speaks against the candidate, if not enough
+}
 
 // Advance moves the roll-out to a step, by a conditional write on its object.
 type Advance struct{ Step int }
@@ -80,10 +83,10 @@
 		return Hold{Reason: "the roll-out is paused"}
 	}
 	if worst.strength >= suspicious && state.Full {
-		return Hold{Reason: "the session limit is used up and the candidate is under suspicion, raise the limit or abort: " + worst.describe()}
+		return Hold{Reason: "the session limit is used up and the candidate is under suspicion, raise the limit or abort: " + worst.describe(), Suspicious: true}
 	}
 	if worst.strength >= suspicious {
-		return Hold{Reason: "the candidate is under suspicion: " + worst.describe()}
+		return Hold{Reason: "the candidate is under suspicion: " + worst.describe(), Suspicious: true}
 	}
 	release := ident.Release{Model: rollout.Model, Version: rollout.To}
 	whole := evidence.Total(Key{Release: release, Stratum: Stratum{Step: state.Step}})
--- a/internal/route/load.go
+++ b/internal/route/load.go
@@ -17,6 +17,9 @@
 	slowFactor    = 2.0 // a first token later than this multiple of the expected one cuts the limit
 	refusalPause  = 100 * time.Millisecond
 
+	absentPause = 400 * time.Millisecond // before the next connection to an address where nothing listens, doubled each time
+	maxMisses   = 4                      // doublings of absentPause, and one
+
 	historySize    = 64          // changes of the attempts in flight that are remembered
 	serviceWindow  = 64          // ended attempts over which the service time is averaged
 	assumedService = time.Second // service time before any attempt has ended
@@ -34,6 +37,7 @@
 	history  [historySize]change // a ring, the newest at newest
 	newest   int
 	changed  time.Time // when running last changed
+	misses   int       // connections that failed in a row
 	area     float64   // decayed seconds of attempts in flight
 	ended    float64   // decayed count of attempts ended
 }
@@ -114,7 +118,12 @@
 		l.factor = math.Min(l.correction(now)*slowFactor, factorCeiling)
 		l.observed = now
 		l.decrease(now)
-	case OutcomeDone, OutcomeCancelled:
+	case OutcomeGone:
+		l.misses = min(l.misses+1, maxMisses)
+		l.backoff = now.Add(absentPause << (l.misses - 1))
+	case OutcomeDone:
+		l.misses = 0
+	case OutcomeCancelled:
 	}
 }
 
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -18,6 +18,7 @@
 	OutcomeCancelled                 // given up by this router or its caller
 	OutcomeOverloaded                // refused by the endpoint as too much
 	OutcomeFailed                    // broken or in error
+	OutcomeGone                      // nothing of the service listens at the address
 )
 
 // Table holds this router's own view of each endpoint's load: attempts in
--- a/internal/setup/load.go
+++ b/internal/setup/load.go
@@ -15,12 +15,18 @@
 	acceptedURL     = "an http or https URL"
 )
 
-// Section is one table of the settings file; the first has no name.
-type Section struct {
+// SectionOf is one table of a settings file; the first has no name.
+type SectionOf[T any] struct {
 	Name   string
-	Fields []input.Field[Settings]
+	Fields []input.Field[T]
 }
 
+// Section is one table of the router's settings file.
+type Section = SectionOf[Settings]
+
+// levels are the levels of log lines.
+var levels = []string{"debug", "info", "warn", "error"}
+
 // Load reads and checks the settings file. Its error is input.Problems, with
 // every problem of the file.
 func Load(path string) (Settings, error) {
@@ -34,16 +40,21 @@
 
 // Read checks the text of a settings file, without reading any other file.
 func Read(f input.File) (Settings, input.Problems) {
-	s := Default()
+	return readSections(f, Sections(), Default(), check)
+}
+
+// readSections reads a file's tables over the defaults. Check, if not nil,
+// finds what no key shows alone.
+func readSections[T any](f input.File, sections []SectionOf[T], s T, check func(*input.Document, T) input.Problems) (T, input.Problems) {
+	var none T
 	d, problems := input.Parse(f)
 	if d == nil {
-		return Settings{}, problems
+		return none, problems
 	}
 	top := map[string]any{}
 	for name, value := range d.Root {
 		top[name] = value
 	}
-	sections := Sections()
 	for _, section := range sections[1:] {
 		value, written := top[section.Name]
 		delete(top, section.Name)
@@ -55,10 +66,12 @@
 		problems = append(problems, input.Read(d, []string{section.Name}, table, section.Fields, &s)...)
 	}
 	problems = append(problems, input.Read(d, nil, top, sections[0].Fields, &s)...)
-	problems = append(problems, check(d, s)...)
+	if check != nil {
+		problems = append(problems, check(d, s)...)
+	}
 	problems = problems.Sort()
 	if len(problems) > 0 {
-		return Settings{}, problems
+		return none, problems
 	}
 	return s, nil
 }
@@ -102,7 +115,7 @@
 	return []Section{
 		{Fields: topFields()},
 		{Name: "log", Fields: []input.Field[Settings]{
-			input.Choice("level", []string{"debug", "info", "warn", "error"}, []string{"debug", "info", "warn", "error"}, "info",
+			input.Choice("level", levels, levels, "info",
 				func(s *Settings) *string { return &s.Log.Level }),
 		}},
 		{Name: "tls", Fields: []input.Field[Settings]{
--- a/internal/setup/reference.go
+++ b/internal/setup/reference.go
@@ -3,6 +3,6 @@
 import "github.com/marigoldscale/marigoldscale/internal/input"
 
 // Keys describes the section's keys, for the page of keys.
-func (s Section) Keys() []input.Key {
+func (s SectionOf[T]) Keys() []input.Key {
 	return input.Keys(s.Fields)
 }
--- /dev/null
+++ b/internal/world/rollout.go
@@ -0,0 +1,90 @@
+package world
+
+import (
+	"time"
+
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+// Stage is how far a roll-out has come.
+type Stage string
+
+// The stages of a roll-out.
+const (
+	StageOrdered  Stage = ""            // no router has taken it up
+	StageTrial    Stage = "trial"       // a small share goes to the target
+	StageMoving   Stage = "moving"      // all new requests go to the target
+	StageFinished Stage = "completed"   // only the target is left
+	StageUndone   Stage = "rolled_back" // nothing goes to the target
+)
+
+// Rollout is an order to bring a service to a version.
+type Rollout struct {
+	Service  ident.ServiceID
+	Target   ident.VersionID
+	Duration time.Duration // within which it is to be finished
+	Stage    Stage
+	Revision uint64    // of the object in the store, for the next conditional write
+	Seen     time.Time // when this router first heard of the order
+	Entered  time.Time // when this router first saw the stage
+}
+
+// Open tells whether the roll-out still wants a decision.
+func (r *Rollout) Open() bool {
+	return r.Stage != StageFinished && r.Stage != StageUndone
+}
+
+func (w *World) order(now time.Time, x Ordered) bool {
+	w.ordered = true
+	named := map[ident.ServiceID]bool{}
+	for _, r := range x.Present {
+		named[r.Service] = true
+		w.rollout(now, r)
+	}
+	for _, id := range x.Gone {
+		w.withdrawn(id)
+	}
+	if x.Whole {
+		for id := range w.rollouts {
+			if !named[id] {
+				w.withdrawn(id)
+			}
+		}
+	}
+	return true
+}
+
+func (w *World) rollout(now time.Time, r Rollout) {
+	old, known := w.rollouts[r.Service]
+	if known && old.Revision > r.Revision {
+		return
+	}
+	r.Seen, r.Entered = now, now
+	if known && old.Target == r.Target && (old.Open() || !r.Open()) {
+		r.Seen = old.Seen
+		if old.Stage == r.Stage {
+			r.Entered = old.Entered
+		}
+	}
+	w.rollouts[r.Service] = r
+	if r.Stage == StageFinished {
+		w.stable[r.Service] = r.Target
+	}
+	if !known || old.Stage != r.Stage || old.Target != r.Target {
+		w.note("rollout "+stageWord(r.Stage), string(r.Service), "target %s, revision %d", r.Target, r.Revision)
+	}
+}
+
+func (w *World) withdrawn(id ident.ServiceID) {
+	if _, known := w.rollouts[id]; known {
+		delete(w.rollouts, id)
+		w.note("rollout removed", string(id), "")
+	}
+}
+
+func stageWord(s Stage) string {
+	if s == StageOrdered {
+		return "ordered"
+	}
+	return string(s)
+}
