--- a/internal/pass/ladder.go
+++ b/internal/pass/ladder.go
@@ -11,5 +11,6 @@
 	if len(models) == 0 || q.Model != AnyModel {
 		return nil
 	}
-	return []Rung{{Model: models[len(models)-1]}}
+	return []Rung{{Model: models[0], Accept: accept}, {Model: models[len(models)-1]}}
 }
+const accept = 40
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -154,7 +154,7 @@
 	e := endpoints[pick.Site]
 	c.log("placed", zap.Int("attempt", int(p.Attempt)), zap.String("endpoint", string(e.ID)),
 		zap.String("zone", string(e.Zone)), zap.String("version", string(e.Version)), zap.String("model", string(p.Model)),
-		zap.Duration("expected", pick.Expected), zap.Int64("uncached", int64(pick.Uncached)), zap.Int("sites", len(sites)))
+		zap.Duration("expected", pick.Expected), zap.Int64("uncached", int64(pick.Uncached)), zap.Int("sites", len(sites)), zap.String("session", string(c.request.Session)))
 	c.placed = append(c.placed, placement{endpoint: e.ID, base: pick.Base})
 	c.server.loads.Start(now, e.ID)
 	c.server.tempo.Start(e.ID, pick.Base)
@@ -305,6 +305,8 @@
 func (c *call) open(o pass.Open) {
 	c.first = c.server.clock().Sub(c.arrived)
 	r := c.exchanges[o.Attempt].response
+	c.log("opened", zap.Int("attempt", int(o.Attempt)),
+		zap.Int("confidence", c.server.dialect.Head(r.StatusCode, r.Header).Confidence))
 	copyHead(c.w.Header(), r.Header)
 	c.w.Header().Del("Content-Length")
 	c.w.WriteHeader(r.StatusCode)
