Share evidence on versions through the store, and keep sessions on their version

Cause: eight routers each saw an eighth of a version's answers, and the load moved after too few; sessions were drawn by request. Ruled out: a larger trial share, which exposes more callers. The trial now ends only on enough evidence of all routers, and sessions move once.

--- a/internal/pass/ladder.go
+++ b/internal/pass/ladder.go
@@ -13,4 +13,5 @@
 	}
 	return []Rung{{Model: models[0], Accept: accept}, {Model: models[len(models)-1]}}
 }
+
 const accept = 40
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -180,7 +180,7 @@
 // chosen for it, in an allowed region, and cold ones only if there is no other.
 func (c *call) sites(now time.Time) ([]route.Site, []*world.Endpoint) {
 	view := c.server.control.View()
-	version := c.server.control.Version(now, view, c.request.Service, c.request.Seed)
+	version := c.server.control.Version(now, view, c.request.Service, c.request.Seed, c.request.Session)
 	var sites, cold []route.Site
 	var warmly, coldly []*world.Endpoint
 	for _, e := range view.Endpoints(c.request.Service) {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -49,7 +49,7 @@
 	// View gives the newest view.
 	View() *world.View
 	// Version picks the version of a service for a request, "" for any.
-	Version(now time.Time, v *world.View, service ident.ServiceID, key uint64) ident.VersionID
+	Version(now time.Time, v *world.View, service ident.ServiceID, key uint64, session ident.SessionID) ident.VersionID
 	// Observe takes in how an attempt fared.
 	Observe(now time.Time, route paths.RouteID, report pass.Report)
 	// Routers gives the number of routers that share the endpoints, at most.
--- a/internal/roll/counters.go
+++ b/internal/roll/counters.go
@@ -35,6 +35,9 @@
 	counterCount   = countLackRanks + places
 )
 
+// CounterCount is the number of counters.
+const CounterCount = uint64(counterCount)
+
 // ratingUnit is the resolution of summed ratings; sums of integers merge
 // exactly.
 const ratingUnit = 1_000_000
--- a/internal/roll/roll.go
+++ b/internal/roll/roll.go
@@ -19,6 +19,7 @@
 type Hold struct {
 	Reason     string
 	Suspicious bool // the evidence speaks against the candidate, if not enough
+	Seen       int  // answers of the candidate in the step
 }
 
 // Advance moves the roll-out to a step, by a conditional write on its object.
@@ -33,7 +34,12 @@
 
 // Finish makes the candidate the version of all new sessions: the step is set
 // to the number of steps.
-type Finish struct{ Step int }
+type Finish struct {
+	Step int
+	// Strength is the part of the evidence needed for a withdrawal that speaks
+	// against the candidate, below that of a suspicion.
+	Strength float64
+}
 
 func (Hold) decision()     {}
 func (Advance) decision()  {}
@@ -92,10 +98,10 @@
 	whole := evidence.Total(Key{Release: release, Stratum: Stratum{Step: state.Step}})
 	seen := whole[CountRequests]
 	if wanted := rollout.Steps[state.Step].Evidence; seen < uint64(wanted) {
-		return Hold{Reason: fmt.Sprintf("%d of %d answers seen in this step", seen, wanted)}
+		return Hold{Reason: fmt.Sprintf("%d of %d answers seen in this step", seen, wanted), Seen: int(seen)}
 	}
 	if state.Step+1 == len(rollout.Steps) {
-		return Finish{Step: len(rollout.Steps)}
+		return Finish{Step: len(rollout.Steps), Strength: worst.strength}
 	}
 	return Advance{Step: state.Step + 1}
 }
--- a/internal/steer/members.go
+++ b/internal/steer/members.go
@@ -52,14 +52,20 @@
 			sleep(ctx, retryLast)
 			continue
 		}
-		n := int64(max(1, len(objects)))
-		if m.count.Swap(n) != n {
-			log.Info("routers counted", zap.Int64("routers", n))
-		}
+		m.counted(len(objects), log)
 		sleep(ctx, spread(memberPause))
 	}
 }
 
+// counted takes in the number of routers that have entered themselves.
+func (m *members) counted(n int, log *zap.Logger) {
+	n = max(1, n)
+	if m.count.Swap(int64(n)) != int64(n) {
+		log.Info("routers counted", zap.Int("routers", n))
+	}
+}
+
+// enter writes this router's entry, and tells whether it is there.
 func (m *members) enter(ctx context.Context, store Store, log *zap.Logger) bool {
 	value, _ := json.Marshal(struct {
 		Router ident.RouterID `json:"router"`
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -36,6 +36,10 @@
 	Config(o plat.Object) (*paths.Config, bool, error)
 	// Rollout reads a roll-out.
 	Rollout(o plat.Object) (world.Rollout, error)
+	// StatusKey gives the key under which an object's status is written.
+	StatusKey(key plat.Key) plat.Key
+	// Status reads the part of an object that routers write, empty if none has.
+	Status(o plat.Object) ([]byte, error)
 	// Progress spells the write of a roll-out's stage.
 	Progress(r world.Rollout, stage world.Stage) (plat.Key, []byte, error)
 }
@@ -108,6 +112,7 @@
 	}
 	group.Go(func() { t.members.run(ctx, t.store, t.log) })
 	group.Go(func() { t.tend(ctx) })
+	group.Go(func() { t.share(ctx) })
 	group.Wait()
 }
 
--- a/internal/steer/trial.go
+++ b/internal/steer/trial.go
@@ -39,13 +39,18 @@
 }
 
 // Version picks the version of a service for a request by its key, "" for any.
-func (t *Steer) Version(now time.Time, v *world.View, service ident.ServiceID, key uint64) ident.VersionID {
+// A session keeps the version that it began on through the trial, and moves
+// with the load once.
+func (t *Steer) Version(now time.Time, v *world.View, service ident.ServiceID, key uint64, session ident.SessionID) ident.VersionID {
 	r, ok := v.Rollouts[service]
 	if !ok || !r.Open() {
 		return ""
 	}
 	stable := v.Stable(service)
 	share := r.Share(now, t.settings.Exposure)
+	if session != "" {
+		share = r.SessionShare()
+	}
 	chosen := stable
 	if float64(key>>11)/(1<<53) < float64(share) {
 		chosen = r.Target
@@ -90,7 +95,7 @@
 		return
 	}
 	outcome := roll.Outcome{Failed: report.Failed, First: report.First}
-	release := ident.Release{Model: ident.ModelID(e.Service), Version: e.Version}
+	release := ident.Release{Model: modelOf(r), Version: e.Version}
 	t.lock.Lock()
 	defer t.lock.Unlock()
 	t.trials.evidence.Record(now, t.trials.self, view, ident.TeamID(id), release, outcome)
@@ -99,7 +104,7 @@
 // trialConfig puts a roll-out of a service into the terms of package roll: the
 // service is the model, and its routes are the teams that may suffer alone.
 func trialConfig(v *world.View, r world.Rollout) (*fleet.Config, fleet.RolloutState) {
-	model := ident.ModelID(r.Service)
+	model := modelOf(r)
 	stable := v.Stable(r.Service)
 	teams := map[ident.TeamID]*fleet.Team{}
 	for _, id := range v.Config.RoutesOf(r.Service) {
@@ -118,6 +123,11 @@
 		}
 }
 
+// modelOf names the evidence on one order apart from that on earlier ones.
+func modelOf(r world.Rollout) ident.ModelID {
+	return ident.ModelID(string(r.Service) + "#" + r.Order)
+}
+
 // carry takes each open roll-out a stage further if it is time.
 func (t *Steer) carry(ctx context.Context, now time.Time) {
 	v := t.View()
--- a/internal/world/next.go
+++ b/internal/world/next.go
@@ -9,27 +9,35 @@
 
 const (
 	// TrialAnswers is the number of answers that a version must have given on
-	// trial before more of the load moves to it.
-	TrialAnswers = 12
-	// trialPart is the part of a roll-out's duration that its trial takes:
-	// sessions that began before it keep their version for that long.
+	// trial before the load moves to it: a version that fails one in three
+	// would be found out by fewer.
+	TrialAnswers = 20
+	// trialPart is the part of a roll-out's duration that its trial takes at
+	// least: sessions that began before it keep their version for that long.
 	trialPart = 0.52
-	// trialMost is the part of the duration after which the load moves although
-	// few answers were seen, if none of them speaks against the version.
-	trialMost = 0.65
+	// clearStrength is the evidence against a version, as a part of what would
+	// withdraw it, up to which the load moves at the end of the trial.
+	clearStrength = 0.2
+	// doubtPart is the part of the duration for which a weaker suspicion
+	// prolongs the trial.
+	doubtPart = 0.66
 	// movePart is the part of the duration that the move takes.
-	movePart = 0.2
+	movePart = 0.26
+	// probeShare goes to the target in the first probeTime of the move, to show
+	// how the version bears load.
+	probeShare = 0.35
+	probeTime  = 2500 * time.Millisecond
 	// moveShare is the share of the load that goes to the target while the old
 	// version stays in use for comparison.
 	moveShare = 0.9
 	// clearBefore is how long before the end of the move the old version gets
 	// no more work, so that what it runs can end.
-	clearBefore = 3 * time.Second
+	clearBefore = 2500 * time.Millisecond
 	// trialMargin keeps a trial under the exposure allowed, since requests are
 	// drawn at random and repeated.
-	trialMargin = 0.6
+	trialMargin = 0.7
 	// turnSpread is the time over which routers take turns at a write.
-	turnSpread = 1500 * time.Millisecond
+	turnSpread = time.Second
 )
 
 // Share gives the part of a service's requests that goes to the target.
@@ -38,17 +46,30 @@
 	case StageTrial:
 		return exposure * trialMargin
 	case StageMoving:
-		if now.Sub(r.Entered) >= r.moveTime()-clearBefore {
+		switch age := now.Sub(r.Entered); {
+		case age < probeTime:
+			return probeShare
+		case age < r.moveTime()-clearBefore:
+			return moveShare
+		default:
 			return 1
 		}
-		return moveShare
 	default:
 		return 0
 	}
 }
 
+// SessionShare gives the part of sessions that go to the target: a session
+// must not change its version to and fro.
+func (r *Rollout) SessionShare() ident.Share {
+	if r.Stage == StageMoving {
+		return 1
+	}
+	return 0
+}
+
 func (r *Rollout) moveTime() time.Duration {
-	return max(clearBefore, time.Duration(movePart*float64(r.Duration)))
+	return max(probeTime+clearBefore, time.Duration(movePart*float64(r.Duration)))
 }
 
 // Next gives the stage that a roll-out should be at, and why. Turn, from 0 to
@@ -66,13 +87,10 @@
 			return StageTrial, "taken up"
 		}
 	case StageTrial:
-		_, enough := evidence.(roll.Finish)
-		if age >= part(trialPart) && enough {
+		clear, enough := evidence.(roll.Finish)
+		if enough && age >= part(trialPart) && (clear.Strength <= clearStrength || age >= part(doubtPart)) {
 			return StageMoving, "no evidence against it"
 		}
-		if hold, held := evidence.(roll.Hold); held && age >= part(trialMost) && !hold.Suspicious {
-			return StageMoving, "few answers, none against it"
-		}
 	case StageMoving:
 		if entered >= r.moveTime() {
 			return StageFinished, "moved"
--- a/internal/world/rollout.go
+++ b/internal/world/rollout.go
@@ -23,6 +23,7 @@
 	Service  ident.ServiceID
 	Target   ident.VersionID
 	Duration time.Duration // within which it is to be finished
+	Order    string        // tells the order from an earlier one for the same service
 	Stage    Stage
 	Revision uint64    // of the object in the store, for the next conditional write
 	Seen     time.Time // when this router first heard of the order
@@ -60,7 +61,7 @@
 		return
 	}
 	r.Seen, r.Entered = now, now
-	if known && old.Target == r.Target && (old.Open() || !r.Open()) {
+	if known && old.Target == r.Target && old.Order == r.Order && (old.Open() || !r.Open()) {
 		r.Seen = old.Seen
 		if old.Stage == r.Stage {
 			r.Entered = old.Entered
