--- a/internal/world/next.go
+++ b/internal/world/next.go
@@ -87,8 +87,8 @@
 			return StageTrial, "taken up"
 		}
 	case StageTrial:
-		clear, enough := evidence.(roll.Finish)
-		if enough && age >= part(trialPart) && (clear.Strength <= clearStrength || age >= part(doubtPart)) {
+		finish, enough := evidence.(roll.Finish)
+		if enough && age >= part(trialPart) && (finish.Strength <= clearStrength || age >= part(doubtPart)) {
 			return StageMoving, "no evidence against it"
 		}
 	case StageMoving:
