Let a few routers read the store and the others follow them over gRPC feeds

Routers rank each other alike; the first reads, the others follow, and whoever loses fresh news reads for himself at once. Evidence on versions goes the same way instead of through the store. Sessions in use keep their version, silent attempts no longer count as failures of a version.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -71,7 +71,11 @@
 	client := &http.Client{Transport: transport}
 	budget := plat.NewBudget(callRate(s.Limits.Reads), callRate(s.Limits.Writes), e.clock)
 	store := plat.NewDialect(s.Platform, client, budget, storeRetry(), e.metrics.Registry(), wire.Store)
-	e.steer = steer.New(steerSettings(s), wire.Kinds, store, log, e.clock, transport.CloseIdleConnections)
+	guide, err := steer.New(steerSettings(s), wire.Kinds, store, log, e.clock, transport.CloseIdleConnections)
+	if err != nil {
+		return nil, fmt.Errorf("making the router's state: %w", err)
+	}
+	e.steer = guide
 	server, err := relay.New(relaySettings(s), wire.Calls, e.steer, log, e.metrics, e.clock)
 	if err != nil {
 		return nil, fmt.Errorf("making the relay: %w", err)
@@ -102,7 +106,7 @@
 	}
 	ready := &http.Server{Handler: e.readiness(), ReadHeaderTimeout: readHeader, IdleTimeout: idleLimit}
 	admin := &http.Server{Handler: e.admin(), ReadHeaderTimeout: readHeader, IdleTimeout: idleLimit}
-	failed := make(chan error, 3)
+	failed := make(chan error, 4)
 	for _, l := range []struct {
 		name    string
 		address string
@@ -114,6 +118,12 @@
 		}
 		go func() { failed <- l.server.Serve(listener) }()
 	}
+	links, err := net.Listen("tcp4", s.Feed)
+	if err != nil {
+		return fmt.Errorf("listening for routers at %s: %w", s.Feed, err)
+	}
+	go func() { failed <- e.steer.Hub().Serve(links) }()
+	defer e.steer.Hub().Stop()
 	e.log.Info("started", zap.String("router", string(s.Router)), zap.String("zone", string(s.Zone)),
 		zap.String("listen", s.Listen), zap.String("platform", s.Platform))
 	background, halt := context.WithCancel(context.Background())
--- a/internal/entry/store.go
+++ b/internal/entry/store.go
@@ -24,9 +24,9 @@
 	endpointShare = 0.3
 	// watchPart is the part of a bound that a watch waits: it is repeated in
 	// time even if its connection is silent.
-	watchPart = 1.0
+	watchPart = 0.35
 	// orderPart is the same for orders on zones and versions.
-	orderPart = 0.6
+	orderPart = 0.3
 )
 
 func storeTransport() *http.Transport {
@@ -53,7 +53,7 @@
 func steerSettings(s setup.Relay) steer.Settings {
 	part := func(d time.Duration, p float64) time.Duration { return time.Duration(float64(d) * p) }
 	return steer.Settings{
-		Router: s.Router, Lapse: s.Times.Lapse, Exposure: s.Exposure,
+		Router: s.Router, Feed: s.Feed, First: s.First, Lapse: s.Times.Lapse, Exposure: s.Exposure, Session: s.Times.Session,
 		Endpoints: steer.Pace{Wait: part(s.Times.Drain, endpointShare), Pause: part(s.Times.Drain, endpointShare)},
 		Configs:   steer.Pace{Wait: part(s.Times.Apply, watchPart)},
 		Orders:    steer.Pace{Wait: part(s.Times.Cutoff, orderPart)},
--- a/internal/pass/action.go
+++ b/internal/pass/action.go
@@ -62,6 +62,8 @@
 	Model    ident.ModelID
 	Outcome  route.Outcome
 	Failed   bool          // the endpoint failed a request that it ran
+	Silent   bool          // it was given up since no answer had come
+	Took     time.Duration // from its start to now
 	First    time.Duration // to the answer or first event, 0 if none came
 	Base     time.Duration // that was expected, without correction by experience
 	Uncached ident.Tokens  // read for it, as far as was foreseen
--- a/internal/pass/course.go
+++ b/internal/pass/course.go
@@ -390,11 +390,20 @@
 			continue
 		}
 		c.ran = true
-		return append(c.drop(Attempt(i), route.OutcomeFailed, true), c.place()...)
+		return append(c.giveUp(now, Attempt(i)), c.place()...)
 	}
 	return nil
 }
 
+// giveUp cancels an attempt that is silent for too long.
+func (c *Course) giveUp(now time.Time, n Attempt) []Action {
+	actions := c.drop(n, route.OutcomeFailed, false)
+	report := actions[len(actions)-1].(Report)
+	report.Silent, report.Took = true, now.Sub(c.attempts[n].started)
+	actions[len(actions)-1] = report
+	return actions
+}
+
 func (c *Course) timeout() []Action {
 	if c.opened {
 		return c.abort(ReasonTimeout)
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -176,11 +176,16 @@
 	return ident.ModelID(c.request.Service)
 }
 
+// session names the caller's session over all teams.
+func (c *call) session() ident.SessionKey {
+	return ident.SessionKey{Team: c.request.Team, Session: c.request.Session}
+}
+
 // sites lists the endpoints that may get the request: those of the version
 // chosen for it, in an allowed region, and cold ones only if there is no other.
 func (c *call) sites(now time.Time) ([]route.Site, []*world.Endpoint) {
 	view := c.server.control.View()
-	version := c.server.control.Version(now, view, c.request.Service, c.request.Seed, c.request.Session)
+	version := c.server.control.Version(now, view, c.request.Service, c.request.Seed, c.session())
 	var sites, cold []route.Site
 	var warmly, coldly []*world.Endpoint
 	for _, e := range view.Endpoints(c.request.Service) {
@@ -296,9 +301,9 @@
 		s.tempo.Measure(c.modelOr(r.Model), r.Uncached, r.First)
 	}
 	if r.Outcome == route.OutcomeDone || r.Outcome == route.OutcomeFailed {
-		s.tempo.Outcome(now, r.Endpoint.ID, r.Failed)
+		s.tempo.Outcome(now, r.Endpoint.ID, r.Failed || r.Silent)
 	}
-	s.control.Observe(now, c.route.ID, r)
+	s.control.Observe(now, c.route.ID, c.session(), r)
 }
 
 // open sends the head of a stream.
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -55,8 +55,10 @@
 	sent := x.send(k)
 	r, err := x.receive(k, dialect)
 	if err != nil {
-		stop()
 		_ = k.conn.Close() // in an unknown state
+		if !stop() {
+			return // cancelled
+		}
 		x.cause = err
 		tell(pass.Broken{Attempt: x.number, Sent: true})
 		return
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -49,9 +49,9 @@
 	// View gives the newest view.
 	View() *world.View
 	// Version picks the version of a service for a request, "" for any.
-	Version(now time.Time, v *world.View, service ident.ServiceID, key uint64, session ident.SessionID) ident.VersionID
+	Version(now time.Time, v *world.View, service ident.ServiceID, key uint64, session ident.SessionKey) ident.VersionID
 	// Observe takes in how an attempt fared.
-	Observe(now time.Time, route paths.RouteID, report pass.Report)
+	Observe(now time.Time, route paths.RouteID, session ident.SessionKey, report pass.Report)
 	// Routers gives the number of routers that share the endpoints, at most.
 	Routers() int
 }
--- a/internal/setup/relay.go
+++ b/internal/setup/relay.go
@@ -16,6 +16,8 @@
 	Listen   string // host:port for callers
 	Ready    string // host:port for the balancer's question whether to send callers
 	Admin    string // host:port for metrics
+	Feed     string // host:port at which other routers follow this one
+	First    bool   // all routers start together for the first time
 	Platform string // URL of the platform's store
 	Log      Log
 	Zones    []Place
@@ -50,7 +52,9 @@
 	Drain  time.Duration // within which a leaving endpoint gets nothing more
 	Apply  time.Duration // within which a configuration is in force
 	Cutoff time.Duration // within which orders on zones and versions are followed
-	Lapse  time.Duration // after the store's return, until missing entries count as gone
+	// Session is how long after its last answer a session is in use.
+	Session time.Duration
+	Lapse   time.Duration // after the store's return, until missing entries count as gone
 }
 
 // DefaultRelay gives the settings that hold where the file says nothing.
@@ -62,7 +66,7 @@
 		Exposure: 0.1,
 		Times: RelayTimes{
 			Grace: 10 * time.Second, Drain: 2 * time.Second, Apply: 2 * time.Second,
-			Cutoff: 5 * time.Second, Lapse: 2 * time.Second,
+			Cutoff: 5 * time.Second, Lapse: 2 * time.Second, Session: 5 * time.Second,
 		},
 	}
 }
@@ -92,6 +96,8 @@
 		input.Text("listen", acceptedAddress, "", input.IsAddress, func(s *Relay) *string { return &s.Listen }).Require(),
 		input.Text("ready", acceptedAddress, "", input.IsAddress, func(s *Relay) *string { return &s.Ready }).Require(),
 		input.Text("admin", acceptedAddress, "", input.IsAddress, func(s *Relay) *string { return &s.Admin }).Require(),
+		input.Text("feed", acceptedAddress, "", input.IsAddress, func(s *Relay) *string { return &s.Feed }).Require(),
+		input.Bool("first", false, func(s *Relay) *bool { return &s.First }),
 		input.Text("platform", acceptedURL, "", input.IsURL, func(s *Relay) *string { return &s.Platform }).Require(),
 		input.Tables("zones", "a list of tables with zone and region", "[]", []input.Field[Place]{
 			input.Text("zone", input.AcceptedName, "", input.IsName, func(p *Place) *ident.ZoneID { return &p.Zone }).Require(),
@@ -118,6 +124,7 @@
 			input.Duration("drain", 100*time.Millisecond, time.Hour, preset.Times.Drain, func(s *Relay) *time.Duration { return &s.Times.Drain }),
 			input.Duration("apply", 100*time.Millisecond, time.Hour, preset.Times.Apply, func(s *Relay) *time.Duration { return &s.Times.Apply }),
 			input.Duration("cutoff", 100*time.Millisecond, time.Hour, preset.Times.Cutoff, func(s *Relay) *time.Duration { return &s.Times.Cutoff }),
+			input.Duration("session", 0, 24*time.Hour, preset.Times.Session, func(s *Relay) *time.Duration { return &s.Times.Session }),
 			input.Duration("lapse", 0, time.Hour, preset.Times.Lapse, func(s *Relay) *time.Duration { return &s.Times.Lapse }),
 		}},
 	}
--- /dev/null
+++ b/internal/steer/follow.go
@@ -0,0 +1,291 @@
+package steer
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/marigoldscale/marigoldscale/internal/feed"
+	"github.com/marigoldscale/marigoldscale/internal/plat"
+)
+
+const (
+	// memberPrefix is the kind under which routers enter themselves. An entry
+	// is written once in a router's life and never removed: what is shared out
+	// by their number then stays within its limit.
+	memberPrefix plat.Key = "routers/"
+	// memberWait is how long a watch on the routers waits.
+	memberWait = 5 * time.Second
+	// firstWait is how long a router waits at the first start of all of them
+	// before it looks who else is there.
+	firstWait = 1200 * time.Millisecond
+	// beat is the pause between frames to followers, and between looks at who
+	// is followed.
+	beat = 250 * time.Millisecond
+	// beatLimit is the age of the last frame at which a link is not fresh: a
+	// follower must read a change by itself within the bound on it.
+	beatLimit = 800 * time.Millisecond
+	// linkTime is how long a link may take to be opened.
+	linkTime = 600 * time.Millisecond
+	// linkTrial is how long a new link may take to be fresh.
+	linkTrial = time.Second
+	// evidenceEvery is the pause between evidence sent to the one followed.
+	evidenceEvery = 400 * time.Millisecond
+)
+
+// link is the state of the stream from the router that is followed.
+type link struct {
+	lock   sync.Mutex
+	peer   feed.Peer
+	cancel context.CancelFunc
+	opened time.Time
+	last   time.Time // of the last frame
+	ages   map[plat.Key]time.Duration
+	failed bool
+}
+
+// enter writes this router's entry, and tells whether it is there.
+func (t *Steer) enter(ctx context.Context) bool {
+	value, err := json.Marshal(feed.Peer{Router: t.settings.Router, Address: t.settings.Feed})
+	if err != nil {
+		t.log.Error("router not entered", zap.Error(err))
+		return false
+	}
+	_, err = t.store.Put(ctx, plat.ClassStatus, memberPrefix+plat.Key(t.settings.Router), value, 0)
+	if err != nil && !errors.Is(err, plat.ErrConflict) {
+		t.log.Info("router not entered", zap.Error(err))
+		return false
+	}
+	return true
+}
+
+// routers takes in who is there.
+func (t *Steer) routers(_ time.Time, _ []plat.Object, _ []plat.Key, _ bool) {
+	m := t.mirrors[memberPrefix]
+	peers := make([]feed.Peer, 0, len(m.objects))
+	for _, o := range m.objects {
+		raw, err := t.kinds.Spec(o)
+		var p feed.Peer
+		if err == nil {
+			err = json.Unmarshal(raw, &p)
+		}
+		if err != nil || p.Router == "" {
+			t.unreadable(o, errors.Errorf("entry of a router cannot be read: %v", err))
+			continue
+		}
+		peers = append(peers, p)
+	}
+	t.rosterLock.Lock()
+	t.roster.Know(peers)
+	t.rosterLock.Unlock()
+	n := int64(max(1, len(peers)))
+	if t.count.Swap(n) != n {
+		t.log.Info("routers counted", zap.Int64("routers", n))
+	}
+}
+
+// Routers gives the number of routers that share the endpoints, at most.
+func (t *Steer) Routers() int { return int(t.count.Load()) }
+
+// join enters this router and looks who else is there, until that is known.
+func (t *Steer) join(ctx context.Context) {
+	for ctx.Err() == nil && !t.enter(ctx) {
+		sleep(ctx, spread(retryLast))
+	}
+	if t.settings.First {
+		sleep(ctx, firstWait)
+	}
+	w := t.watchers[memberPrefix]
+	for ctx.Err() == nil && w.call(ctx) != nil {
+		sleep(ctx, spread(retryLast))
+	}
+}
+
+// govern decides who is followed and whether the store is read, until ctx ends.
+func (t *Steer) govern(ctx context.Context) {
+	t.join(ctx)
+	var current *link
+	for ctx.Err() == nil {
+		now := t.clock()
+		fresh := current != nil && t.fresh(now, current)
+		t.rosterLock.Lock()
+		if current != nil && !fresh && (current.broken() || now.Sub(current.opened) > linkTrial) {
+			t.roster.Down(now, current.peer.Router)
+			t.log.Warn("feed lost", zap.String("router", string(current.peer.Router)))
+			current.cancel()
+			current = nil
+		}
+		if fresh {
+			t.roster.Up(current.peer.Router)
+		}
+		plan := t.roster.Plan(now, fresh, t.hub.Followed())
+		t.rosterLock.Unlock()
+		if current != nil && plan.Follow.Router != current.peer.Router {
+			current.cancel()
+			current = nil
+		}
+		if current == nil && plan.Follow.Router != "" {
+			current = t.follow(ctx, now, plan.Follow)
+		}
+		// A router that knows nothing yet waits for a link just opened.
+		waits := !fresh && current != nil && !t.View().Ready && !t.hub.Followed() && !plan.Reader
+		if read := plan.Read && !waits; t.gate.set(read) {
+			t.log.Info("reading", zap.Bool("store", read), zap.String("follow", string(plan.Follow.Router)), zap.Bool("fresh", fresh))
+		}
+		t.hub.Beat()
+		t.age(now)
+		sleep(ctx, beat)
+	}
+}
+
+func (l *link) broken() bool {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	return l.failed
+}
+
+// fresh tells whether the link brings all kinds as they are in the store.
+func (t *Steer) fresh(now time.Time, l *link) bool {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	if l.failed || l.last.IsZero() || now.Sub(l.last) > beatLimit {
+		return false
+	}
+	for kind, m := range t.mirrors {
+		age, told := l.ages[kind]
+		if !told || age+now.Sub(l.last) > m.limit() {
+			return false
+		}
+	}
+	return true
+}
+
+// follow opens a link to a router and takes in what it sends.
+func (t *Steer) follow(ctx context.Context, now time.Time, peer feed.Peer) *link {
+	ctx, cancel := context.WithCancel(ctx)
+	l := &link{peer: peer, cancel: cancel, opened: now}
+	go func() {
+		defer cancel()
+		if err := t.hear(ctx, l); err != nil && ctx.Err() == nil {
+			t.log.Info("feed broke", zap.String("router", string(peer.Router)), zap.Error(err))
+		}
+		l.lock.Lock()
+		l.failed = true
+		l.lock.Unlock()
+	}()
+	return l
+}
+
+func (t *Steer) hear(ctx context.Context, l *link) error {
+	stream, err := feed.Follow(ctx, l.peer, linkTime)
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	go t.testify(ctx, stream)
+	for {
+		f, err := stream.Receive()
+		if err != nil {
+			return err
+		}
+		now := t.clock()
+		t.frame(now, f)
+		l.lock.Lock()
+		if l.last.IsZero() {
+			t.log.Info("feed opened", zap.String("router", string(l.peer.Router)))
+		}
+		l.last, l.ages = now, f.Ages
+		l.lock.Unlock()
+	}
+}
+
+// frame takes in a frame from the router that is followed.
+func (t *Steer) frame(now time.Time, f feed.Frame) {
+	for _, n := range f.News {
+		t.news(now, n)
+	}
+	t.mirrorLock.Lock()
+	for kind, age := range f.Ages {
+		if m := t.mirrors[kind]; m != nil && now.Add(-age).After(m.heard) {
+			m.heard = now.Add(-age)
+		}
+	}
+	t.mirrorLock.Unlock()
+	t.merge(f.Evidence)
+}
+
+// testify sends evidence to the router that is followed, until ctx ends.
+func (t *Steer) testify(ctx context.Context, stream *feed.Link) {
+	var mark evidenceMark
+	for ctx.Err() == nil {
+		sleep(ctx, evidenceEvery)
+		if evidence := t.evidence(&mark); len(evidence) > 0 {
+			if stream.Send(feed.Frame{From: t.settings.Router, Evidence: evidence}) != nil {
+				return // the receiver sees that the link is broken
+			}
+		}
+	}
+}
+
+// news takes in what was read of a kind, and passes it on.
+func (t *Steer) news(now time.Time, n feed.News) {
+	t.mirrorLock.Lock()
+	defer t.mirrorLock.Unlock()
+	m := t.mirrors[n.Kind]
+	if m == nil {
+		return
+	}
+	fresh, some := m.take(now, n)
+	if some {
+		t.hub.Publish(feed.Frame{News: []feed.News{fresh}, Ages: t.ages(now)})
+	}
+}
+
+// read takes in what this router has read itself.
+func (t *Steer) read(now time.Time, n feed.News) {
+	t.mirrorLock.Lock()
+	t.mirrors[n.Kind].heard = now
+	t.mirrorLock.Unlock()
+	t.age(now)
+	t.news(now, n)
+}
+
+// ages tells how long ago each kind was heard from the store.
+func (t *Steer) ages(now time.Time) map[plat.Key]time.Duration {
+	ages := make(map[plat.Key]time.Duration, len(t.mirrors))
+	for kind, m := range t.mirrors {
+		if !m.heard.IsZero() {
+			ages[kind] = now.Sub(m.heard)
+		}
+	}
+	return ages
+}
+
+// Snapshot gives all that is known, for a router that begins to follow.
+func (t *Steer) Snapshot() feed.Frame {
+	t.mirrorLock.Lock()
+	defer t.mirrorLock.Unlock()
+	f := feed.Frame{From: t.settings.Router, Ages: t.ages(t.clock())}
+	for _, m := range t.mirrors {
+		if m.listed {
+			f.News = append(f.News, m.snapshot())
+		}
+	}
+	var mark evidenceMark
+	f.Evidence = t.evidence(&mark)
+	return f
+}
+
+// Beat gives the frame for a moment without news.
+func (t *Steer) Beat() feed.Frame {
+	t.mirrorLock.Lock()
+	defer t.mirrorLock.Unlock()
+	return feed.Frame{Ages: t.ages(t.clock()), Evidence: t.evidence(&t.told)}
+}
+
+// Heard takes in what a follower sends.
+func (t *Steer) Heard(f feed.Frame) { t.merge(f.Evidence) }
--- /dev/null
+++ b/internal/steer/gate.go
@@ -0,0 +1,44 @@
+package steer
+
+import (
+	"context"
+	"sync"
+)
+
+// gate holds goroutines back while it is closed.
+type gate struct {
+	lock   sync.Mutex
+	open   bool
+	opened chan struct{} // closed when the gate opens
+}
+
+func newGate() *gate { return &gate{opened: make(chan struct{})} }
+
+// set opens or closes the gate, and tells whether that changes anything.
+func (g *gate) set(open bool) bool {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	if g.open == open {
+		return false
+	}
+	g.open = open
+	if open {
+		close(g.opened)
+	} else {
+		g.opened = make(chan struct{})
+	}
+	return true
+}
+
+// wait waits until the gate is open, and tells whether ctx still runs.
+func (g *gate) wait(ctx context.Context) bool {
+	g.lock.Lock()
+	opened := g.opened
+	g.lock.Unlock()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-opened:
+		return ctx.Err() == nil
+	}
+}
--- a/internal/steer/share.go
+++ b/internal/steer/share.go
@@ -1,139 +1,72 @@
 package steer
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
-	"time"
 
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
-	"github.com/marigoldscale/marigoldscale/internal/plat"
 	"github.com/marigoldscale/marigoldscale/internal/roll"
-	"github.com/marigoldscale/marigoldscale/internal/world"
 	"github.com/marigoldscale/marigoldscale/pkg/ident"
 )
 
-const (
-	// shareEvery is the pause between exchanges of evidence while a version is
-	// on trial, and shareMoving while the load moves to it: fifty bad answers
-	// spread over all routers must be seen well within the roll-back bound.
-	shareEvery  = 1200 * time.Millisecond
-	shareMoving = 500 * time.Millisecond
-	// shareEntries bounds the entries that one router shares: those of all
-	// routes together come first.
-	shareEntries = 12
-	// shareFew is the number of routers up to which routes are shared apart.
-	shareFew = 24
-)
-
-// sharedEntry is one cell of evidence as it is kept in the store.
-type sharedEntry struct {
-	Model   ident.ModelID   `json:"model"`
-	Version ident.VersionID `json:"version"`
-	Route   ident.TeamID    `json:"route,omitempty"`
-	Step    int             `json:"step"`
-	Window  int             `json:"window"`
-	Counts  [][2]uint64     `json:"counts"` // counter and value
-}
-
-// sharedEvidence is one router's evidence as it is kept in the store.
-type sharedEvidence struct {
-	Incarnation uint64        `json:"incarnation"`
-	Entries     []sharedEntry `json:"entries"`
-}
+// evidenceMark is the point up to which evidence was passed on.
+type evidenceMark = roll.Mark
 
-// share exchanges evidence with the other routers until ctx ends.
-func (t *Steer) share(ctx context.Context) {
-	var mark roll.Mark
-	for ctx.Err() == nil {
-		pause, open := t.sharePause()
-		if !open {
-			sleep(ctx, shareMoving)
-			continue
-		}
-		mark = t.giveEvidence(ctx, mark)
-		t.takeEvidence(ctx)
-		sleep(ctx, pause)
-	}
+// shared is one cell of evidence as it is passed between routers.
+type shared struct {
+	Router      ident.RouterID  `json:"router"`
+	Incarnation uint64          `json:"incarnation"`
+	Model       ident.ModelID   `json:"model"`
+	Version     ident.VersionID `json:"version"`
+	Route       ident.TeamID    `json:"route,omitempty"`
+	Step        int             `json:"step"`
+	Window      int             `json:"window"`
+	Counts      [][2]uint64     `json:"counts"` // counter and value
 }
 
-// sharePause gives the pause between exchanges, and whether there is anything
-// to exchange.
-func (t *Steer) sharePause() (time.Duration, bool) {
-	pause, open := shareEvery, false
-	for _, r := range t.View().Rollouts {
-		switch r.Stage {
-		case world.StageTrial:
-			open = true
-		case world.StageMoving:
-			pause, open = shareMoving, true
-		case world.StageOrdered, world.StageFinished, world.StageUndone:
-		}
-	}
-	return pause, open
-}
-
-// giveEvidence writes this router's own evidence, if there is any news.
-func (t *Steer) giveEvidence(ctx context.Context, mark roll.Mark) roll.Mark {
-	most := shareEntries
-	if t.Routers() > shareFew {
-		most = 2 // of all routes together, as a whole and in the window
-	}
+// evidence gives the evidence of all routers that changed after the mark.
+func (t *Steer) evidence(mark *evidenceMark) []json.RawMessage {
 	t.lock.Lock()
-	fresh, next := t.trials.evidence.Batch(t.trials.self, mark, 1, 0)
-	entries, _ := t.trials.evidence.Batch(t.trials.self, 0, most, 0)
+	entries, next := t.trials.evidence.Delta(*mark)
 	t.lock.Unlock()
-	if len(fresh) == 0 {
-		return mark
-	}
-	s := sharedEvidence{Incarnation: t.trials.self.Incarnation}
+	*mark = next
+	var out []json.RawMessage
 	for _, e := range entries {
-		s.Entries = append(s.Entries, pack(e))
-	}
-	value, err := json.Marshal(s)
-	if err != nil {
-		t.log.Error("evidence not written", zap.Error(err))
-		return mark
-	}
-	_, err = t.store.Put(ctx, plat.ClassStatus, t.kinds.StatusKey(memberPrefix+plat.Key(t.settings.Router)), value, 0)
-	if err != nil {
-		if errors.Is(err, plat.ErrAbsent) {
-			t.members.enter(ctx, t.store, t.log)
+		raw, err := json.Marshal(pack(e))
+		if err != nil {
+			t.log.Error("evidence not passed on", zap.Error(err))
+			continue
 		}
-		t.log.Info("evidence not written", zap.Error(err))
-		return mark
+		out = append(out, raw)
 	}
-	return next
+	return out
 }
 
-// takeEvidence reads the evidence of all routers.
-func (t *Steer) takeEvidence(ctx context.Context) {
-	objects, _, err := t.store.ListAt(ctx, plat.ClassStatus, memberPrefix)
-	if err != nil {
-		t.log.Info("evidence not read", zap.Error(err))
-		return
-	}
-	t.members.counted(len(objects), t.log)
-	for _, o := range objects {
-		router := ident.RouterID(t.kinds.Name(o.Key))
-		if router == t.settings.Router {
-			continue
-		}
-		entries, err := t.unpack(router, o)
+// merge takes in evidence from other routers.
+func (t *Steer) merge(list []json.RawMessage) {
+	var entries []roll.Entry
+	for _, raw := range list {
+		e, err := unpack(raw)
 		if err != nil {
-			t.unreadable(o, err)
+			t.log.Warn("evidence passed over", zap.Error(err))
 			continue
 		}
-		t.lock.Lock()
-		t.trials.evidence.Merge(entries)
-		t.lock.Unlock()
+		if e.Source != t.trials.self {
+			entries = append(entries, e)
+		}
 	}
+	if len(entries) == 0 {
+		return
+	}
+	t.lock.Lock()
+	t.trials.evidence.Merge(entries)
+	t.lock.Unlock()
 }
 
-func pack(e roll.Entry) sharedEntry {
-	s := sharedEntry{
+func pack(e roll.Entry) shared {
+	s := shared{
+		Router: e.Source.Router, Incarnation: e.Source.Incarnation,
 		Model: e.Key.Release.Model, Version: e.Key.Release.Version, Route: e.Key.Team,
 		Step: e.Key.Stratum.Step, Window: e.Key.Stratum.Window,
 	}
@@ -143,32 +76,23 @@
 	return s
 }
 
-func (t *Steer) unpack(router ident.RouterID, o plat.Object) ([]roll.Entry, error) {
-	raw, err := t.kinds.Status(o)
-	if err != nil || len(raw) == 0 || string(raw) == "null" {
-		return nil, err
-	}
-	var s sharedEvidence
+func unpack(raw json.RawMessage) (roll.Entry, error) {
+	var s shared
 	if err := json.Unmarshal(raw, &s); err != nil {
-		return nil, fmt.Errorf("reading the evidence of router %q: %w", router, err)
+		return roll.Entry{}, fmt.Errorf("reading evidence: %w", err)
 	}
-	source := roll.Source{Router: router, Incarnation: s.Incarnation}
-	entries := make([]roll.Entry, 0, len(s.Entries))
-	for _, e := range s.Entries {
-		entry := roll.Entry{
-			Key: roll.Key{
-				Release: ident.Release{Model: e.Model, Version: e.Version}, Team: e.Route,
-				Stratum: roll.Stratum{Step: e.Step, Window: e.Window},
-			},
-			Source: source,
-		}
-		for _, c := range e.Counts {
-			if c[0] >= roll.CounterCount {
-				return nil, fmt.Errorf("evidence of router %q counts what is not known: %d", router, c[0])
-			}
-			entry.Counts = append(entry.Counts, roll.Count{Counter: roll.Counter(c[0]), Value: c[1]})
+	e := roll.Entry{
+		Key: roll.Key{
+			Release: ident.Release{Model: s.Model, Version: s.Version}, Team: s.Route,
+			Stratum: roll.Stratum{Step: s.Step, Window: s.Window},
+		},
+		Source: roll.Source{Router: s.Router, Incarnation: s.Incarnation},
+	}
+	for _, c := range s.Counts {
+		if c[0] >= roll.CounterCount {
+			return roll.Entry{}, fmt.Errorf("evidence of router %q counts what is not known: %d", s.Router, c[0])
 		}
-		entries = append(entries, entry)
+		e.Counts = append(e.Counts, roll.Count{Counter: roll.Counter(c[0]), Value: c[1]})
 	}
-	return entries, nil
+	return e, nil
 }
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -4,12 +4,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/marigoldscale/marigoldscale/internal/feed"
 	"github.com/marigoldscale/marigoldscale/internal/paths"
 	"github.com/marigoldscale/marigoldscale/internal/plat"
 	"github.com/marigoldscale/marigoldscale/internal/world"
@@ -19,7 +21,9 @@
 const (
 	// awayAfter is how long the store gives no answer before entries that are
 	// missing on its return count as lapsed. Entries outlive shorter gaps.
-	awayAfter = 1500 * time.Millisecond
+	awayAfter = 1800 * time.Millisecond
+	// routersUnknown is taken for the number of routers before they are counted.
+	routersUnknown = 64
 	// tick is the pause between looks at what only time changes.
 	tick = 250 * time.Millisecond
 )
@@ -36,10 +40,8 @@
 	Config(o plat.Object) (*paths.Config, bool, error)
 	// Rollout reads a roll-out.
 	Rollout(o plat.Object) (world.Rollout, error)
-	// StatusKey gives the key under which an object's status is written.
-	StatusKey(key plat.Key) plat.Key
-	// Status reads the part of an object that routers write, empty if none has.
-	Status(o plat.Object) ([]byte, error)
+	// Spec reads the part of an object that its writer has set.
+	Spec(o plat.Object) (json.RawMessage, error)
 	// Progress spells the write of a roll-out's stage.
 	Progress(r world.Rollout, stage world.Stage) (plat.Key, []byte, error)
 }
@@ -55,11 +57,14 @@
 // Settings are what a Steer keeps to.
 type Settings struct {
 	Router    ident.RouterID
+	Feed      string        // host:port at which other routers follow this one
+	First     bool          // all routers start together for the first time
 	Lapse     time.Duration // see world.Settings
 	Endpoints Pace
 	Configs   Pace
-	Orders    Pace        // of roll-outs and zones
-	Exposure  ident.Share // of a service's requests that a version on trial may get
+	Orders    Pace          // of roll-outs and zones
+	Exposure  ident.Share   // of a service's requests that a version on trial may get
+	Session   time.Duration // after its last answer, for which a session is in use
 }
 
 // Steer owns the router's shared state. It is safe for use by many goroutines.
@@ -69,91 +74,94 @@
 	store    Store
 	log      *zap.Logger
 	clock    func() time.Time
-	reset    func()
 	view     atomic.Pointer[world.View]
-	lock     sync.Mutex // guards what follows
-	world    *world.World
-	away     bool
-	answered time.Time
-	odd      map[plat.Key]plat.Version // entries that could not be read, as logged
-	trials   *trials
-	members  *members
+	count    atomic.Int64 // of routers
+	hub      *feed.Hub
+	gate     *gate // open while this router reads the store
+	watchers map[plat.Key]*watcher
+	pins     *pins
+
+	rosterLock sync.Mutex
+	roster     *feed.Roster
+
+	mirrorLock sync.Mutex // guards the mirrors; taken before lock
+	mirrors    map[plat.Key]*mirror
+	told       evidenceMark // up to which followers were told of evidence
+
+	lock   sync.Mutex // guards what follows
+	world  *world.World
+	away   bool
+	odd    map[plat.Key]plat.Version // entries that could not be read, as logged
+	trials *trials
 }
 
 // New makes a Steer that knows nothing yet. Reset drops the store's
 // connections, which may be dead after a failed call.
-func New(s Settings, kinds Kinds, store Store, log *zap.Logger, clock func() time.Time, reset func()) *Steer {
+func New(s Settings, kinds Kinds, store Store, log *zap.Logger, clock func() time.Time, reset func()) (*Steer, error) {
+	pins, err := newPins()
+	if err != nil {
+		return nil, err
+	}
 	w := world.New(world.Settings{Router: s.Router, Lapse: s.Lapse})
 	t := &Steer{
-		settings: s, kinds: kinds, store: store, log: log, clock: clock, reset: reset,
-		world: w, odd: map[plat.Key]plat.Version{}, trials: newTrials(s, clock()), members: newMembers(s.Router),
+		settings: s, kinds: kinds, store: store, log: log, clock: clock,
+		gate: newGate(), roster: feed.NewRoster(feed.Peer{Router: s.Router, Address: s.Feed}),
+		pins: pins, world: w, odd: map[plat.Key]plat.Version{}, trials: newTrials(s, clock()),
 	}
+	t.count.Store(routersUnknown)
+	t.hub = feed.NewHub(t)
 	t.view.Store(w.View())
-	return t
+	p := kinds.Prefixes()
+	t.mirrors = map[plat.Key]*mirror{
+		p.Endpoints:  newMirror(p.Endpoints, s.Endpoints, t.endpoints),
+		p.Configs:    newMirror(p.Configs, s.Configs, t.configs),
+		p.Rollouts:   newMirror(p.Rollouts, s.Orders, t.rollouts),
+		p.Zones:      newMirror(p.Zones, s.Orders, t.zones),
+		memberPrefix: newMirror(memberPrefix, Pace{Wait: memberWait, Pause: beat}, t.routers),
+	}
+	t.mirrors[p.Endpoints].same = t.sameEndpoint
+	t.watchers = map[plat.Key]*watcher{}
+	for kind, m := range t.mirrors {
+		t.watchers[kind] = &watcher{
+			kind: kind, pace: m.pace, store: store, log: log, clock: clock, gate: t.gate, reset: reset,
+			state: func() (plat.Version, bool) {
+				t.mirrorLock.Lock()
+				defer t.mirrorLock.Unlock()
+				return m.upto, m.listed
+			},
+			take: t.read,
+			lapse: func() {
+				t.mirrorLock.Lock()
+				defer t.mirrorLock.Unlock()
+				m.listed = false
+			},
+		}
+	}
+	return t, nil
 }
 
 // View gives the newest view.
 func (t *Steer) View() *world.View { return t.view.Load() }
 
-// Run follows the store until ctx ends.
+// Hub serves the routers that follow this one.
+func (t *Steer) Hub() *feed.Hub { return t.hub }
+
+// Run follows the store, or a router that does, until ctx ends.
 func (t *Steer) Run(ctx context.Context) {
 	var group sync.WaitGroup
-	p := t.kinds.Prefixes()
-	for _, w := range []*watcher{
-		t.watcher(p.Endpoints, t.settings.Endpoints, t.endpoints),
-		t.watcher(p.Configs, t.settings.Configs, t.configs),
-		t.watcher(p.Rollouts, t.settings.Orders, t.rollouts),
-		t.watcher(p.Zones, t.settings.Orders, t.zones),
-	} {
-		if w.kind == p.Endpoints {
-			w.answered, w.failed = t.heard, t.unheard
-		}
+	for _, w := range t.watchers {
 		group.Go(func() { w.run(ctx) })
 	}
-	group.Go(func() { t.members.run(ctx, t.store, t.log) })
+	group.Go(func() { t.govern(ctx) })
 	group.Go(func() { t.tend(ctx) })
-	group.Go(func() { t.share(ctx) })
 	group.Wait()
 }
 
-// watcher makes the watcher of a kind. Take is given the objects present and
-// the keys of those gone, and whether these are all.
-func (t *Steer) watcher(kind plat.Key, pace Pace, take func(now time.Time, present []plat.Object, gone []plat.Key, whole bool)) *watcher {
-	return &watcher{
-		kind: kind, pace: pace, store: t.store, log: t.log, clock: t.clock, reset: t.reset,
-		answered: func(time.Time) {}, failed: func(time.Time) {},
-		whole: func(now time.Time, objects []plat.Object) { take(now, objects, nil, true) },
-		changed: func(now time.Time, changes []plat.Change) {
-			present, gone := latest(changes)
-			take(now, present, gone, false)
-		},
-	}
-}
-
-// latest keeps the last change of each object.
-func latest(changes []plat.Change) (present []plat.Object, gone []plat.Key) {
-	last := make(map[plat.Key]int, len(changes))
-	for i, c := range changes {
-		last[c.Object.Key] = i
-	}
-	for i, c := range changes {
-		switch {
-		case last[c.Object.Key] != i:
-		case c.Object.Version == 0:
-			gone = append(gone, c.Object.Key)
-		default:
-			present = append(present, c.Object)
-		}
-	}
-	return present, gone
-}
-
 // step takes an event into the world, and publishes the view.
 func (t *Steer) step(now time.Time, e world.Event) {
 	t.lock.Lock()
 	notes := t.world.Step(now, e)
-	view := t.world.View()
-	t.view.Store(view)
+	t.view.Store(t.world.View())
 	t.lock.Unlock()
 	t.tell(notes)
 }
@@ -237,29 +245,38 @@
 // maxOdd bounds the unreadable objects that are remembered.
 const maxOdd = 1000
 
-// heard notes that the store has answered.
-func (t *Steer) heard(now time.Time) {
-	t.lock.Lock()
-	back := t.away
-	t.away = false
-	t.answered = now
-	t.lock.Unlock()
-	if back {
-		t.log.Info("entries current again")
-		t.step(now, world.Back{})
+// sameEndpoint tells whether an endpoint's entry changed in nothing that
+// matters, as its heartbeats do.
+func (t *Steer) sameEndpoint(before, after plat.Object) bool {
+	a, err := t.kinds.Announcement(before)
+	if err != nil {
+		return false
 	}
+	b, err := t.kinds.Announcement(after)
+	return err == nil && a == b && b.Cold == 0
 }
 
-// unheard notes that a call failed.
-func (t *Steer) unheard(now time.Time) {
+// age notes whether the endpoints' entries are current.
+func (t *Steer) age(now time.Time) {
+	t.mirrorLock.Lock()
+	heard := t.mirrors[t.kinds.Prefixes().Endpoints].heard
+	t.mirrorLock.Unlock()
+	if heard.IsZero() {
+		return
+	}
 	t.lock.Lock()
-	lost := !t.away && !t.answered.IsZero() && now.Sub(t.answered) >= awayAfter
-	t.away = t.away || lost
-	age := now.Sub(t.answered)
+	away := now.Sub(heard) >= awayAfter
+	changed := away != t.away
+	t.away = away
 	t.lock.Unlock()
-	if lost {
-		t.log.Warn("entries not current", zap.Duration("age", age))
+	switch {
+	case !changed:
+	case away:
+		t.log.Warn("entries not current", zap.Duration("age", now.Sub(heard)))
 		t.step(now, world.Away{})
+	default:
+		t.log.Info("entries current again")
+		t.step(now, world.Back{})
 	}
 }
 
--- a/internal/steer/trial.go
+++ b/internal/steer/trial.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,6 +24,7 @@
 	self     roll.Source
 	evidence *roll.Evidence
 	writing  map[ident.ServiceID]time.Time // no other write before
+	logged   map[ident.ServiceID]time.Time // when its evidence was last logged
 	exposure ident.Share
 }
 
@@ -34,25 +36,22 @@
 		self:     roll.Source{Router: s.Router, Incarnation: uint64(now.UnixNano())},
 		evidence: roll.New(xxhash.Sum64String(string(s.Router))),
 		writing:  map[ident.ServiceID]time.Time{},
+		logged:   map[ident.ServiceID]time.Time{},
 		exposure: s.Exposure,
 	}
 }
 
-// Version picks the version of a service for a request by its key, "" for any.
-// A session keeps the version that it began on through the trial, and moves
-// with the load once.
-func (t *Steer) Version(now time.Time, v *world.View, service ident.ServiceID, key uint64, session ident.SessionID) ident.VersionID {
+// Version picks the version of a service for a request, "" for any. A session
+// that is in use keeps its version through the trial, and moves with the load
+// once; one that begins is drawn like a request without a session.
+func (t *Steer) Version(now time.Time, v *world.View, service ident.ServiceID, key uint64, session ident.SessionKey) ident.VersionID {
 	r, ok := v.Rollouts[service]
 	if !ok || !r.Open() {
 		return ""
 	}
 	stable := v.Stable(service)
-	share := r.Share(now, t.settings.Exposure)
-	if session != "" {
-		share = r.SessionShare()
-	}
 	chosen := stable
-	if float64(key>>11)/(1<<53) < float64(share) {
+	if t.drawn(now, r, key, session) {
 		chosen = r.Target
 	}
 	other := stable
@@ -68,6 +67,25 @@
 	return chosen
 }
 
+// drawn tells whether a request goes to a roll-out's target.
+func (t *Steer) drawn(now time.Time, r world.Rollout, key uint64, session ident.SessionKey) bool {
+	share := r.Share(now, t.settings.Exposure)
+	if session.Session != "" {
+		if version, ok := t.pins.get(now, session, r.Service, t.settings.Session+sessionSlack); ok {
+			return version == r.Target && r.Stage != world.StageOrdered || r.Stage == world.StageMoving
+		}
+		if r.Stage == world.StageMoving {
+			return true
+		}
+		key = xxhash.Sum64String(session.String() + "/" + r.Order)
+	}
+	return float64(key>>11)/(1<<53) < float64(share)
+}
+
+// sessionSlack is added to the time for which a session counts as in use, as
+// its caller's clock begins at the end of the answer.
+const sessionSlack = time.Second
+
 // serves tells whether a version has an endpoint that bears its full load.
 func serves(now time.Time, v *world.View, service ident.ServiceID, version ident.VersionID) bool {
 	for _, e := range v.Endpoints(service) {
@@ -79,7 +97,10 @@
 }
 
 // Observe takes in how an attempt fared.
-func (t *Steer) Observe(now time.Time, id paths.RouteID, report pass.Report) {
+func (t *Steer) Observe(now time.Time, id paths.RouteID, session ident.SessionKey, report pass.Report) {
+	if session.Session != "" {
+		t.pins.put(now, session, report.Endpoint.Service, report.Endpoint.Version)
+	}
 	if report.Outcome != route.OutcomeDone && report.Outcome != route.OutcomeFailed {
 		return
 	}
@@ -94,7 +115,7 @@
 	if !ok {
 		return
 	}
-	outcome := roll.Outcome{Failed: report.Failed, First: report.First}
+	outcome := roll.Outcome{Failed: report.Failed, First: max(report.First, report.Took)}
 	release := ident.Release{Model: modelOf(r), Version: e.Version}
 	t.lock.Lock()
 	defer t.lock.Unlock()
@@ -111,16 +132,16 @@
 		teams[ident.TeamID(id)] = &fleet.Team{ID: ident.TeamID(id)}
 	}
 	return &fleet.Config{
-		Teams: teams,
-		Models: map[ident.ModelID]*fleet.Model{
-			model: {ID: model, Default: stable, Versions: []ident.VersionID{stable, r.Target}},
-		},
-		Rollouts: map[ident.ModelID]*fleet.Rollout{
-			model: {Model: model, To: r.Target, Steps: []fleet.Step{{Evidence: world.TrialAnswers}}, Limits: limits},
-		},
-	}, fleet.RolloutState{
-		Model: model, To: r.Target, Entered: r.Seen,
-	}
+			Teams: teams,
+			Models: map[ident.ModelID]*fleet.Model{
+				model: {ID: model, Default: stable, Versions: []ident.VersionID{stable, r.Target}},
+			},
+			Rollouts: map[ident.ModelID]*fleet.Rollout{
+				model: {Model: model, To: r.Target, Steps: []fleet.Step{{Evidence: world.TrialAnswers}}, Limits: limits},
+			},
+		}, fleet.RolloutState{
+			Model: model, To: r.Target, Entered: r.Seen,
+		}
 }
 
 // modelOf names the evidence on one order apart from that on earlier ones.
@@ -143,6 +164,7 @@
 		decision := roll.Decide(now, config, state, t.trials.evidence)
 		waiting := now.Before(t.trials.writing[r.Service])
 		t.lock.Unlock()
+		t.judged(now, r, decision)
 		stage, reason := r.Next(now, decision, t.turn(r))
 		if stage == r.Stage || waiting {
 			continue
@@ -154,6 +176,27 @@
 	}
 }
 
+// judged logs what the evidence on a roll-out says, now and then.
+func (t *Steer) judged(now time.Time, r world.Rollout, decision roll.Decision) {
+	t.lock.Lock()
+	due := now.Sub(t.trials.logged[r.Service]) >= judgeEvery
+	if due {
+		t.trials.logged[r.Service] = now
+	}
+	total := t.trials.evidence.Total(roll.Key{Release: ident.Release{Model: modelOf(r), Version: r.Target}})
+	t.lock.Unlock()
+	if due {
+		t.log.Info("rollout judged", zap.String("name", string(r.Service)), zap.String("target", string(r.Target)),
+			zap.String("stage", string(r.Stage)), zap.Duration("age", now.Sub(r.Seen)),
+			zap.String("verdict", fmt.Sprintf("%T", decision)), zap.Any("detail", decision),
+			zap.Uint64("answers", total[roll.CountRequests]), zap.Uint64("failed", total[roll.CountErrors]),
+			zap.Duration("median", total.Median()), zap.Any("counts", total.Sparse()))
+	}
+}
+
+// judgeEvery is the pause between log lines on the evidence of one roll-out.
+const judgeEvery = 2 * time.Second
+
 // writePause is the pause between this router's writes of one roll-out.
 const writePause = time.Second
 
--- a/internal/steer/watch.go
+++ b/internal/steer/watch.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/marigoldscale/marigoldscale/internal/feed"
 	"github.com/marigoldscale/marigoldscale/internal/plat"
 )
 
@@ -30,84 +31,71 @@
 	Pause time.Duration // at least, from one call to the next
 }
 
-// watcher follows one kind of objects.
+// watcher follows one kind of objects in the store, while its router reads.
 type watcher struct {
 	kind  plat.Key
 	pace  Pace
 	store Store
 	log   *zap.Logger
 	clock func() time.Time
+	gate  *gate
 	reset func() // drops connections that may be dead
-	// whole takes in all objects of the kind, changed those that changed.
-	whole   func(now time.Time, objects []plat.Object)
-	changed func(now time.Time, changes []plat.Change)
-	// answered and failed are told of each call's outcome.
-	answered func(now time.Time)
-	failed   func(now time.Time)
-	lost     bool
+	// state gives the version up to which the kind is known, and whether it is.
+	state func() (plat.Version, bool)
+	// take takes in what was read, lapse that it must be listed again.
+	take  func(now time.Time, n feed.News)
+	lapse func()
+	lost  bool
 }
 
 // run follows the kind until ctx ends.
 func (w *watcher) run(ctx context.Context) {
-	var at plat.Version
-	listed := false
 	pause := retryFirst
-	for ctx.Err() == nil {
+	for w.gate.wait(ctx) {
 		began := w.clock()
-		var err error
-		if listed {
-			at, err = w.follow(ctx, at)
-		} else {
-			at, err = w.list(ctx)
-		}
-		if ctx.Err() != nil {
+		err := w.call(ctx)
+		switch {
+		case ctx.Err() != nil:
 			return
-		}
-		if errors.Is(err, plat.ErrCompacted) {
-			w.log.Info("history gone", zap.String("kind", string(w.kind)), zap.Uint64("revision", uint64(at)))
-			listed = false
-			continue
-		}
-		if err != nil {
+		case errors.Is(err, plat.ErrCompacted):
+			w.log.Info("history gone", zap.String("kind", string(w.kind)))
+			w.lapse()
+		case err != nil:
 			w.fail(err)
 			sleep(ctx, spread(pause))
 			pause = min(2*pause, retryLast)
-			continue
+		default:
+			w.succeed()
+			pause = retryFirst
+			sleep(ctx, w.pace.Pause-w.clock().Sub(began))
 		}
-		w.succeed()
-		listed, pause = true, retryFirst
-		sleep(ctx, w.pace.Pause-w.clock().Sub(began))
 	}
 }
 
-func (w *watcher) list(ctx context.Context) (plat.Version, error) {
-	objects, at, err := w.store.ListAt(ctx, plat.ClassConfig, w.kind)
-	if err != nil {
-		return 0, err
+// call lists the kind, or waits for changes if it is known.
+func (w *watcher) call(ctx context.Context) error {
+	at, listed := w.state()
+	if !listed {
+		objects, upto, err := w.store.ListAt(ctx, plat.ClassConfig, w.kind)
+		if err != nil {
+			return err
+		}
+		changes := make([]plat.Change, len(objects))
+		for i, o := range objects {
+			changes[i] = plat.Change{Object: o, At: o.Version}
+		}
+		w.take(w.clock(), feed.News{Kind: w.kind, Whole: true, Upto: upto, Changes: changes})
+		return nil
 	}
-	now := w.clock()
-	w.answered(now)
-	w.whole(now, objects)
-	return at, nil
-}
-
-// follow waits for changes after a revision. It gives that revision back if
-// the call failed.
-func (w *watcher) follow(ctx context.Context, at plat.Version) (plat.Version, error) {
 	changes, upto, err := w.store.Watch(ctx, plat.ClassConfig, w.kind, at, w.pace.Wait)
 	if err != nil {
-		return at, err
-	}
-	now := w.clock()
-	w.answered(now)
-	if len(changes) > 0 {
-		w.changed(now, changes)
+		return err
 	}
-	return max(at, upto), nil
+	w.take(w.clock(), feed.News{Kind: w.kind, Upto: max(at, upto), Changes: changes})
+	return nil
 }
 
 func (w *watcher) fail(err error) {
-	w.failed(w.clock())
 	w.reset()
 	if !w.lost {
 		w.lost = true
--- a/internal/world/next.go
+++ b/internal/world/next.go
@@ -29,13 +29,13 @@
 	probeTime  = 2500 * time.Millisecond
 	// moveShare is the share of the load that goes to the target while the old
 	// version stays in use for comparison.
-	moveShare = 0.9
+	moveShare = 0.6
 	// clearBefore is how long before the end of the move the old version gets
 	// no more work, so that what it runs can end.
 	clearBefore = 2500 * time.Millisecond
 	// trialMargin keeps a trial under the exposure allowed, since requests are
 	// drawn at random and repeated.
-	trialMargin = 0.7
+	trialMargin = 0.9
 	// turnSpread is the time over which routers take turns at a write.
 	turnSpread = time.Second
 )
