--- a/internal/feed/frame.go
+++ b/internal/feed/frame.go
@@ -30,6 +30,13 @@
 	Ages map[plat.Key]time.Duration `json:"ages,omitempty"`
 	// Evidence is what package steer exchanges on versions, opaque here.
 	Evidence []json.RawMessage `json:"evidence,omitempty"`
+	Kept     []Kept            `json:"kept,omitempty"`
+}
+
+// Kept tells of a session that stays on its version for a while.
+type Kept struct {
+	Session uint64        `json:"session"` // its place in the draw of the roll-out
+	Left    time.Duration `json:"left"`
 }
 
 // codecName names the encoding of frames. It is JSON, which needs no generated
--- a/internal/steer/follow.go
+++ b/internal/steer/follow.go
@@ -216,15 +216,18 @@
 	}
 	t.mirrorLock.Unlock()
 	t.merge(f.Evidence)
+	t.kept.take(now, f.Kept)
 }
 
-// testify sends evidence to the router that is followed, until ctx ends.
+// testify sends evidence and sessions kept to the router that is followed, until ctx ends.
 func (t *Steer) testify(ctx context.Context, stream *feed.Link) {
 	var mark evidenceMark
+	var sessions uint64
 	for ctx.Err() == nil {
 		sleep(ctx, evidenceEvery)
-		if evidence := t.evidence(&mark); len(evidence) > 0 {
-			if stream.Send(feed.Frame{From: t.settings.Router, Evidence: evidence}) != nil {
+		f := feed.Frame{From: t.settings.Router, Evidence: t.evidence(&mark), Kept: t.kept.since(t.clock(), &sessions)}
+		if len(f.Evidence)+len(f.Kept) > 0 {
+			if stream.Send(f) != nil {
 				return // the receiver sees that the link is broken
 			}
 		}
@@ -277,6 +280,8 @@
 	}
 	var mark evidenceMark
 	f.Evidence = t.evidence(&mark)
+	var sessions uint64
+	f.Kept = t.kept.since(t.clock(), &sessions)
 	return f
 }
 
@@ -284,8 +289,12 @@
 func (t *Steer) Beat() feed.Frame {
 	t.mirrorLock.Lock()
 	defer t.mirrorLock.Unlock()
-	return feed.Frame{Ages: t.ages(t.clock()), Evidence: t.evidence(&t.told)}
+	now := t.clock()
+	return feed.Frame{Ages: t.ages(now), Evidence: t.evidence(&t.told), Kept: t.kept.since(now, &t.toldKept)}
 }
 
 // Heard takes in what a follower sends.
-func (t *Steer) Heard(f feed.Frame) { t.merge(f.Evidence) }
+func (t *Steer) Heard(f feed.Frame) {
+	t.merge(f.Evidence)
+	t.kept.take(t.clock(), f.Kept)
+}
--- a/internal/steer/pins.go
+++ b/internal/steer/pins.go
@@ -9,41 +9,36 @@
 	"github.com/marigoldscale/marigoldscale/pkg/ident"
 )
 
-// maxSessions bounds the sessions whose version is remembered.
+// maxSessions bounds the sessions that are remembered.
 const maxSessions = 8192
 
-// pins remembers the version on which each session last ran. It is safe for
-// use by many goroutines.
-type pins struct{ entries *lru.Cache[pinKey, pin] }
+// pins remembers when each session last ran on this router. It is safe for use
+// by many goroutines.
+type pins struct{ entries *lru.Cache[pinKey, time.Time] }
 
 type pinKey struct {
 	session ident.SessionKey
 	service ident.ServiceID
 }
 
-type pin struct {
-	version ident.VersionID
-	at      time.Time // when its last answer ended
-}
-
 func newPins() (*pins, error) {
-	entries, err := lru.New[pinKey, pin](maxSessions)
+	entries, err := lru.New[pinKey, time.Time](maxSessions)
 	if err != nil {
 		return nil, fmt.Errorf("remembering %d sessions: %w", maxSessions, err)
 	}
 	return &pins{entries: entries}, nil
 }
 
-// put notes that a session's request ran on a version.
-func (p *pins) put(now time.Time, session ident.SessionKey, service ident.ServiceID, version ident.VersionID) {
-	p.entries.Add(pinKey{session, service}, pin{version: version, at: now})
+// put notes that a session runs on a service.
+func (p *pins) put(now time.Time, session ident.SessionKey, service ident.ServiceID) {
+	p.entries.Add(pinKey{session, service}, now)
 }
 
-// get gives the version on which a session last ran, if that was within a time.
-func (p *pins) get(now time.Time, session ident.SessionKey, service ident.ServiceID, within time.Duration) (ident.VersionID, bool) {
-	x, ok := p.entries.Get(pinKey{session, service})
-	if !ok || now.Sub(x.at) >= within {
-		return "", false
+// each gives the sessions that ran on a service within a time.
+func (p *pins) each(now time.Time, service ident.ServiceID, within time.Duration, tell func(session ident.SessionKey, last time.Time)) {
+	for _, key := range p.entries.Keys() {
+		if x, ok := p.entries.Peek(key); ok && key.service == service && now.Sub(x) < within {
+			tell(key.session, x)
+		}
 	}
-	return x.version, true
 }
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -80,6 +80,8 @@
 	gate     *gate // open while this router reads the store
 	watchers map[plat.Key]*watcher
 	pins     *pins
+	kept     *kept
+	toldKept uint64 // up to which followers were told of sessions kept
 
 	rosterLock sync.Mutex
 	roster     *feed.Roster
@@ -106,7 +108,7 @@
 	t := &Steer{
 		settings: s, kinds: kinds, store: store, log: log, clock: clock,
 		gate: newGate(), roster: feed.NewRoster(feed.Peer{Router: s.Router, Address: s.Feed}),
-		pins: pins, world: w, odd: map[plat.Key]plat.Version{}, trials: newTrials(s, clock()),
+		pins: pins, kept: newKept(), world: w, odd: map[plat.Key]plat.Version{}, trials: newTrials(s, clock()),
 	}
 	t.count.Store(routersUnknown)
 	t.hub = feed.NewHub(t)
@@ -290,6 +292,7 @@
 		t.view.Store(t.world.View())
 		t.lock.Unlock()
 		t.tell(notes)
+		t.holdAll(now)
 		t.carry(ctx, now)
 	}
 }
--- a/internal/steer/trial.go
+++ b/internal/steer/trial.go
@@ -45,6 +45,9 @@
 // that is in use keeps its version through the trial, and moves with the load
 // once; one that begins is drawn like a request without a session.
 func (t *Steer) Version(now time.Time, v *world.View, service ident.ServiceID, key uint64, session ident.SessionKey) ident.VersionID {
+	if session.Session != "" {
+		t.pins.put(now, session, service)
+	}
 	r, ok := v.Rollouts[service]
 	if !ok || !r.Open() {
 		return ""
@@ -69,23 +72,20 @@
 
 // drawn tells whether a request goes to a roll-out's target.
 func (t *Steer) drawn(now time.Time, r world.Rollout, key uint64, session ident.SessionKey) bool {
-	share := r.Share(now, t.settings.Exposure)
-	if session.Session != "" {
-		if version, ok := t.pins.get(now, session, r.Service, t.settings.Session+sessionSlack); ok {
-			return version == r.Target && r.Stage != world.StageOrdered || r.Stage == world.StageMoving
-		}
-		if r.Stage == world.StageMoving {
-			return true
-		}
-		key = xxhash.Sum64String(session.String() + "/" + r.Order)
+	if session.Session == "" {
+		return below(key, r.Share(now, t.settings.Exposure))
+	}
+	if r.Stage == world.StageMoving {
+		return true
 	}
-	return float64(key>>11)/(1<<53) < float64(share)
+	key = draw(r, session)
+	if t.kept.has(now, key) {
+		t.hold(r, session, now)
+		return false
+	}
+	return below(key, r.Share(now, t.settings.Exposure))
 }
 
-// sessionSlack is added to the time for which a session counts as in use, as
-// its caller's clock begins at the end of the answer.
-const sessionSlack = time.Second
-
 // serves tells whether a version has an endpoint that bears its full load.
 func serves(now time.Time, v *world.View, service ident.ServiceID, version ident.VersionID) bool {
 	for _, e := range v.Endpoints(service) {
@@ -99,7 +99,7 @@
 // Observe takes in how an attempt fared.
 func (t *Steer) Observe(now time.Time, id paths.RouteID, session ident.SessionKey, report pass.Report) {
 	if session.Session != "" {
-		t.pins.put(now, session, report.Endpoint.Service, report.Endpoint.Version)
+		t.pins.put(now, session, report.Endpoint.Service)
 	}
 	if report.Outcome != route.OutcomeDone && report.Outcome != route.OutcomeFailed {
 		return
@@ -107,7 +107,13 @@
 	e := report.Endpoint
 	v := t.View()
 	r, ok := v.Rollouts[e.Service]
-	if !ok || !r.Open() || e.Cold(now) {
+	if !ok || !r.Open() {
+		return
+	}
+	if session.Session != "" && e.Version != r.Target {
+		t.hold(r, session, now)
+	}
+	if e.Cold(now) {
 		return
 	}
 	config, state := trialConfig(v, r)
--- a/internal/world/next.go
+++ b/internal/world/next.go
@@ -36,6 +36,9 @@
 	// trialMargin keeps a trial under the exposure allowed, since requests are
 	// drawn at random and repeated.
 	trialMargin = 0.9
+	// orderPause is the time from an order to its trial, in which the routers
+	// tell each other of the sessions in use.
+	orderPause = 1200 * time.Millisecond
 	// turnSpread is the time over which routers take turns at a write.
 	turnSpread = time.Second
 )
@@ -44,7 +47,7 @@
 func (r *Rollout) Share(now time.Time, exposure ident.Share) ident.Share {
 	switch r.Stage {
 	case StageTrial:
-		return exposure * trialMargin
+		return r.TrialShare(exposure)
 	case StageMoving:
 		switch age := now.Sub(r.Entered); {
 		case age < probeTime:
@@ -59,14 +62,8 @@
 	}
 }
 
-// SessionShare gives the part of sessions that go to the target: a session
-// must not change its version to and fro.
-func (r *Rollout) SessionShare() ident.Share {
-	if r.Stage == StageMoving {
-		return 1
-	}
-	return 0
-}
+// TrialShare gives the part that goes to the target while it is on trial.
+func (r *Rollout) TrialShare(exposure ident.Share) ident.Share { return exposure * trialMargin }
 
 func (r *Rollout) moveTime() time.Duration {
 	return max(probeTime+clearBefore, time.Duration(movePart*float64(r.Duration)))
@@ -83,7 +80,7 @@
 	part := func(p float64) time.Duration { return time.Duration(p * float64(r.Duration)) }
 	switch r.Stage {
 	case StageOrdered:
-		if entered >= 0 {
+		if entered >= orderPause {
 			return StageTrial, "taken up"
 		}
 	case StageTrial:
