Keep an outage of the store cheap, and feeds small

Cause: at 80 routers a feed's first frame filled small links and links timed out in a storm; in an outage every router asked for five kinds each half second.

--- a/internal/entry/store.go
+++ b/internal/entry/store.go
@@ -53,11 +53,22 @@
 func steerSettings(s setup.Relay) steer.Settings {
 	part := func(d time.Duration, p float64) time.Duration { return time.Duration(float64(d) * p) }
 	return steer.Settings{
-		Router: s.Router, Feed: s.Feed, First: s.First, Lapse: s.Times.Lapse, Exposure: s.Exposure, Session: s.Times.Session,
+		Router: s.Router, Feed: s.Feed, First: s.First, Power: power(s.Limits), Lapse: s.Times.Lapse, Exposure: s.Exposure, Session: s.Times.Session,
 		Endpoints: steer.Pace{Wait: part(s.Times.Drain, endpointShare), Pause: part(s.Times.Drain, endpointShare)},
 		Configs:   steer.Pace{Wait: part(s.Times.Apply, watchPart)},
 		Orders:    steer.Pace{Wait: part(s.Times.Cutoff, orderPart)},
 	}
 }
 
+// power tells how well a router can serve others: what it has least of, in
+// parts of what is plenty.
+func power(l setup.RelayLimits) int {
+	return int(100 * min(l.Share/plentyShare, l.Link/plentyLink, 1))
+}
+
+const (
+	plentyShare = 0.4   // of a core
+	plentyLink  = 100.0 // Mbit/s
+)
+
 func sameSettings(a, b setup.Relay) bool { return reflect.DeepEqual(a, b) }
--- a/internal/feed/frame.go
+++ b/internal/feed/frame.go
@@ -4,10 +4,14 @@
 package feed
 
 import (
+	"bytes"
+	"compress/flate"
 	"encoding/json"
 	"fmt"
+	"io"
 	"time"
 
+	"github.com/pkg/errors"
 	"google.golang.org/grpc/encoding"
 
 	"github.com/marigoldscale/marigoldscale/internal/plat"
@@ -39,30 +43,89 @@
 	Left    time.Duration `json:"left"`
 }
 
-// codecName names the encoding of frames. It is JSON, which needs no generated
-// code and is read beside the objects that it carries.
-const codecName = "marigold-json"
+// codecName names the encoding of frames.
+const codecName = "marigold-frame"
 
+// codec encodes frames as JSON, which needs no generated code and is read
+// beside the objects that it carries, deflated when they are long. A frame that
+// goes to many followers is encoded once, by encode.
 type codec struct{}
 
 func init() { encoding.RegisterCodec(codec{}) }
 
-// Marshal encodes a frame.
-func (codec) Marshal(v any) ([]byte, error) {
-	b, err := json.Marshal(v)
+// encoded is a frame's encoding, ready to be sent.
+type encoded []byte
+
+// The first byte of an encoding.
+const (
+	formPlain    = 0
+	formDeflated = 1
+)
+
+// deflateFrom is the length in bytes from which deflating pays.
+const deflateFrom = 512
+
+// encode encodes a frame.
+func encode(f Frame) (encoded, error) {
+	text, err := json.Marshal(f)
 	if err != nil {
 		return nil, fmt.Errorf("encoding a frame: %w", err)
 	}
-	return b, nil
+	if len(text) < deflateFrom {
+		return append([]byte{formPlain}, text...), nil
+	}
+	var b bytes.Buffer
+	b.WriteByte(formDeflated)
+	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	if err != nil {
+		return nil, fmt.Errorf("deflating a frame: %w", err)
+	}
+	if _, err := w.Write(text); err != nil {
+		return nil, fmt.Errorf("deflating a frame: %w", err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, fmt.Errorf("deflating a frame: %w", err)
+	}
+	return b.Bytes(), nil
 }
 
-// Unmarshal decodes a frame.
-func (codec) Unmarshal(data []byte, v any) error {
-	if err := json.Unmarshal(data, v); err != nil {
+// decode reads what encode wrote.
+func decode(data []byte, f *Frame) error {
+	if len(data) == 0 {
+		return errors.New("decoding a frame: it is empty")
+	}
+	text := data[1:]
+	if data[0] == formDeflated {
+		var err error
+		if text, err = io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(text)), maxFrame)); err != nil {
+			return fmt.Errorf("inflating a frame: %w", err)
+		}
+	}
+	if err := json.Unmarshal(text, f); err != nil {
 		return fmt.Errorf("decoding a frame: %w", err)
 	}
 	return nil
 }
 
+// Marshal gives the encoding of a frame.
+func (codec) Marshal(v any) ([]byte, error) {
+	switch x := v.(type) {
+	case encoded:
+		return x, nil
+	case *Frame:
+		return encode(*x)
+	}
+	return nil, fmt.Errorf("encoding a frame: %T is none", v)
+}
+
+// Unmarshal reads a frame.
+func (codec) Unmarshal(data []byte, v any) error {
+	f, ok := v.(*Frame)
+	if !ok {
+		return fmt.Errorf("decoding a frame: %T is none", v)
+	}
+	return decode(data, f)
+}
+
 // Name names the encoding.
 func (codec) Name() string { return codecName }
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
@@ -33,9 +34,15 @@
 	server *grpc.Server
 	lock   sync.Mutex
 	open   map[*follower]struct{}
+
+	version   uint64 // counts news; guarded by lock
+	firstLock sync.Mutex
+	firstText encoded
+	firstOf   uint64 // the version that firstText holds
+	firstAt   time.Time
 }
 
-type follower struct{ frames chan Frame }
+type follower struct{ frames chan encoded }
 
 // NewHub makes a Hub that nobody follows.
 func NewHub(source Source) *Hub {
@@ -76,28 +83,69 @@
 }
 
 // Publish sends a frame to all followers. One that does not keep up is cut off.
-func (h *Hub) Publish(f Frame) {
+func (h *Hub) Publish(f Frame) error {
+	h.lock.Lock()
+	if len(f.News) > 0 {
+		h.version++
+	}
+	followed := len(h.open) > 0
+	h.lock.Unlock()
+	if !followed {
+		return nil
+	}
+	text, err := encode(f)
+	if err != nil {
+		return err
+	}
 	h.lock.Lock()
 	defer h.lock.Unlock()
 	for x := range h.open {
 		select {
-		case x.frames <- f:
+		case x.frames <- text:
 		default:
 			delete(h.open, x)
 			close(x.frames)
 		}
 	}
+	return nil
+}
+
+// firstKept is how long the first frame is used again.
+const firstKept = 250 * time.Millisecond
+
+func (h *Hub) newest() uint64 {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	return h.version
 }
 
 // Beat sends the frame for a moment without news.
-func (h *Hub) Beat() {
-	if h.Followed() {
-		h.Publish(h.source.Beat())
+func (h *Hub) Beat() error {
+	if !h.Followed() {
+		return nil
 	}
+	return h.Publish(h.source.Beat())
+}
+
+// first gives the frame with which a follower begins. Followers that come
+// together get the same one; what is newer follows.
+func (h *Hub) first(now time.Time) (encoded, error) {
+	h.firstLock.Lock()
+	defer h.firstLock.Unlock()
+	version := h.newest()
+	if h.firstOf == version && now.Sub(h.firstAt) < firstKept {
+		return h.firstText, nil
+	}
+	text, err := encode(h.source.Snapshot())
+	if err != nil {
+		return nil, err
+	}
+	h.firstText, h.firstOf, h.firstAt = text, version, now
+	return text, nil
 }
 
 func (h *Hub) serve(stream grpc.ServerStream) error {
-	x := &follower{frames: make(chan Frame, queueFrames)}
+	x := &follower{frames: make(chan encoded, queueFrames)}
 	h.lock.Lock()
 	h.open[x] = struct{}{}
 	h.lock.Unlock()
@@ -111,10 +159,11 @@
 			h.source.Heard(f)
 		}
 	}()
-	// The snapshot is taken after the follower is on the list: news in between
-	// come twice, which their versions show.
-	first := h.source.Snapshot()
-	if err := stream.SendMsg(&first); err != nil {
+	first, err := h.first(time.Now())
+	if err != nil {
+		return err
+	}
+	if err := stream.SendMsg(first); err != nil {
 		return err
 	}
 	for {
@@ -125,7 +174,7 @@
 			if !ok {
 				return status.Error(codes.ResourceExhausted, "follower is too slow; connect again")
 			}
-			if err := stream.SendMsg(&f); err != nil {
+			if err := stream.SendMsg(f); err != nil {
 				return err
 			}
 		}
--- a/internal/feed/plan.go
+++ b/internal/feed/plan.go
@@ -13,7 +13,7 @@
 const (
 	// followersEach is the number of routers for which one more router reads
 	// the store: a reader sends each of them a few frames a second.
-	followersEach = 40
+	followersEach = 25
 	// downFirst and downLast bound how long a router that did not answer, or
 	// whose news were old, is passed over; the time doubles.
 	downFirst = 3 * time.Second
@@ -24,6 +24,9 @@
 type Peer struct {
 	Router  ident.RouterID `json:"router"`
 	Address string         `json:"address"` // host:port of its feed
+	// Power is how well it can serve others: the greater, the sooner it reads
+	// for them.
+	Power int `json:"power"`
 }
 
 // Plan is what a router does: read the store itself, follow another, or both.
@@ -65,7 +68,7 @@
 		list = append(list, Peer{Router: r.self})
 	}
 	slices.SortFunc(list, func(a, b Peer) int {
-		return cmp.Or(cmp.Compare(rank(a.Router), rank(b.Router)), cmp.Compare(a.Router, b.Router))
+		return cmp.Or(cmp.Compare(b.Power, a.Power), cmp.Compare(rank(a.Router), rank(b.Router)), cmp.Compare(a.Router, b.Router))
 	})
 	r.peers = list
 }
--- a/internal/setup/relay.go
+++ b/internal/setup/relay.go
@@ -36,6 +36,8 @@
 // RelayLimits bound what the process uses.
 type RelayLimits struct {
 	Memory int     // MB
+	Share  float64 // of a core
+	Link   float64 // Mbit/s
 	Reads  float64 // calls a second that the platform allows all routers
 	Writes float64
 }
@@ -61,7 +63,7 @@
 func DefaultRelay() Relay {
 	return Relay{
 		Log:      Log{Level: "info"},
-		Limits:   RelayLimits{Memory: 256, Reads: 2000, Writes: 400},
+		Limits:   RelayLimits{Memory: 256, Share: 1, Link: 1000, Reads: 2000, Writes: 400},
 		Retries:  Retries{Share: 0.1, Extra: 10},
 		Exposure: 0.1,
 		Times: RelayTimes{
@@ -112,6 +114,8 @@
 		}},
 		{Name: "limits", Fields: []input.Field[Relay]{
 			input.Int("memory", "MB", 16, 1<<20, preset.Limits.Memory, func(s *Relay) *int { return &s.Limits.Memory }),
+			input.Float("share", "of a core", 0.01, 1024, preset.Limits.Share, func(s *Relay) *float64 { return &s.Limits.Share }),
+			input.Float("link", "Mbit/s", 0.1, 1e6, preset.Limits.Link, func(s *Relay) *float64 { return &s.Limits.Link }),
 			input.Float("reads", "calls a second", 1, 1e6, preset.Limits.Reads, func(s *Relay) *float64 { return &s.Limits.Reads }),
 			input.Float("writes", "calls a second", 1, 1e6, preset.Limits.Writes, func(s *Relay) *float64 { return &s.Limits.Writes }),
 		}},
--- a/internal/steer/follow.go
+++ b/internal/steer/follow.go
@@ -29,10 +29,14 @@
 	// beatLimit is the age of the last frame at which a link is not fresh: a
 	// follower must read a change by itself within the bound on it.
 	beatLimit = 800 * time.Millisecond
-	// linkTime is how long a link may take to be opened.
-	linkTime = 600 * time.Millisecond
-	// linkTrial is how long a new link may take to be fresh.
-	linkTrial = time.Second
+	// linkTime is how long a link may take to be opened, and linkTrial to be
+	// fresh: many may be opened at once to a router with little bandwidth.
+	linkTime  = 2 * time.Second
+	linkTrial = 3 * time.Second
+	// startWait is how long a router that knows nothing waits for its link
+	// before it reads the store, and startWaitFirst at the first start of all.
+	startWait      = time.Second
+	startWaitFirst = 4 * time.Second
 	// evidenceEvery is the pause between evidence sent to the one followed.
 	evidenceEvery = 400 * time.Millisecond
 )
@@ -48,9 +52,14 @@
 	failed bool
 }
 
+// self is this router as others follow it.
+func (t *Steer) self() feed.Peer {
+	return feed.Peer{Router: t.settings.Router, Address: t.settings.Feed, Power: t.settings.Power}
+}
+
 // enter writes this router's entry, and tells whether it is there.
 func (t *Steer) enter(ctx context.Context) bool {
-	value, err := json.Marshal(feed.Peer{Router: t.settings.Router, Address: t.settings.Feed})
+	value, err := json.Marshal(t.self())
 	if err != nil {
 		t.log.Error("router not entered", zap.Error(err))
 		return false
@@ -108,12 +117,13 @@
 // govern decides who is followed and whether the store is read, until ctx ends.
 func (t *Steer) govern(ctx context.Context) {
 	t.join(ctx)
+	began := t.clock()
 	var current *link
 	for ctx.Err() == nil {
 		now := t.clock()
 		fresh := current != nil && t.fresh(now, current)
 		t.rosterLock.Lock()
-		if current != nil && !fresh && (current.broken() || now.Sub(current.opened) > linkTrial) {
+		if current != nil && !fresh && t.useless(now, current) {
 			t.roster.Down(now, current.peer.Router)
 			t.log.Warn("feed lost", zap.String("router", string(current.peer.Router)))
 			current.cancel()
@@ -131,17 +141,43 @@
 		if current == nil && plan.Follow.Router != "" {
 			current = t.follow(ctx, now, plan.Follow)
 		}
+		t.outage.reader.Store(plan.Reader)
 		// A router that knows nothing yet waits for a link just opened.
-		waits := !fresh && current != nil && !t.View().Ready && !t.hub.Followed() && !plan.Reader
+		waits := !fresh && current != nil && !t.View().Ready && !t.hub.Followed() && !plan.Reader &&
+			now.Sub(began) < t.startWait()
 		if read := plan.Read && !waits; t.gate.set(read) {
 			t.log.Info("reading", zap.Bool("store", read), zap.String("follow", string(plan.Follow.Router)), zap.Bool("fresh", fresh))
 		}
-		t.hub.Beat()
+		if err := t.hub.Beat(); err != nil {
+			t.log.Error("followers not told", zap.Error(err))
+		}
 		t.age(now)
 		sleep(ctx, beat)
 	}
 }
 
+// useless tells whether a link that is not fresh is to be given up. While the
+// store answers nobody, it is kept: its router will have news first.
+func (t *Steer) useless(now time.Time, l *link) bool {
+	if l.broken() {
+		return true
+	}
+	l.lock.Lock()
+	quiet := now.Sub(l.opened)
+	if l.last.After(l.opened) {
+		quiet = now.Sub(l.last)
+	}
+	l.lock.Unlock()
+	return quiet > linkTrial || now.Sub(l.opened) > linkTrial && t.outage.answered(now, linkTrial)
+}
+
+func (t *Steer) startWait() time.Duration {
+	if t.settings.First {
+		return startWaitFirst
+	}
+	return startWait
+}
+
 func (l *link) broken() bool {
 	l.lock.Lock()
 	defer l.lock.Unlock()
@@ -244,7 +280,9 @@
 	}
 	fresh, some := m.take(now, n)
 	if some {
-		t.hub.Publish(feed.Frame{News: []feed.News{fresh}, Ages: t.ages(now)})
+		if err := t.hub.Publish(feed.Frame{News: []feed.News{fresh}, Ages: t.ages(now)}); err != nil {
+			t.log.Error("followers not told", zap.Error(err))
+		}
 	}
 }
 
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -58,6 +58,7 @@
 type Settings struct {
 	Router    ident.RouterID
 	Feed      string        // host:port at which other routers follow this one
+	Power     int           // how well it can serve others, see feed.Peer
 	First     bool          // all routers start together for the first time
 	Lapse     time.Duration // see world.Settings
 	Endpoints Pace
@@ -79,6 +80,7 @@
 	hub      *feed.Hub
 	gate     *gate // open while this router reads the store
 	watchers map[plat.Key]*watcher
+	outage   *outage
 	pins     *pins
 	kept     *kept
 	toldKept uint64 // up to which followers were told of sessions kept
@@ -107,7 +109,7 @@
 	w := world.New(world.Settings{Router: s.Router, Lapse: s.Lapse})
 	t := &Steer{
 		settings: s, kinds: kinds, store: store, log: log, clock: clock,
-		gate: newGate(), roster: feed.NewRoster(feed.Peer{Router: s.Router, Address: s.Feed}),
+		gate: newGate(), roster: feed.NewRoster(feed.Peer{Router: s.Router, Address: s.Feed, Power: s.Power}),
 		pins: pins, kept: newKept(), world: w, odd: map[plat.Key]plat.Version{}, trials: newTrials(s, clock()),
 	}
 	t.count.Store(routersUnknown)
@@ -122,10 +124,11 @@
 		memberPrefix: newMirror(memberPrefix, Pace{Wait: memberWait, Pause: beat}, t.routers),
 	}
 	t.mirrors[p.Endpoints].same = t.sameEndpoint
+	t.outage = &outage{probe: p.Endpoints}
 	t.watchers = map[plat.Key]*watcher{}
 	for kind, m := range t.mirrors {
 		t.watchers[kind] = &watcher{
-			kind: kind, pace: m.pace, store: store, log: log, clock: clock, gate: t.gate, reset: reset,
+			kind: kind, pace: m.pace, store: store, log: log, clock: clock, gate: t.gate, reset: reset, outage: t.outage,
 			state: func() (plat.Version, bool) {
 				t.mirrorLock.Lock()
 				defer t.mirrorLock.Unlock()
--- a/internal/steer/watch.go
+++ b/internal/steer/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -16,8 +17,53 @@
 	// retryFirst and retryLast bound the pause after a failed call; it doubles.
 	retryFirst = 100 * time.Millisecond
 	retryLast  = 500 * time.Millisecond
+	// retryFollower bounds it for routers that read only because those they
+	// follow have no news either: in an outage, a few routers ask often.
+	retryFollower = 2 * time.Second
+	// outagePoll is the pause between looks whether an outage is over.
+	outagePoll = 200 * time.Millisecond
 )
 
+// outage tells whether the store answers, as one kind's watcher finds; the
+// others wait for it.
+type outage struct {
+	probe  plat.Key // the kind whose watcher asks
+	lost   atomic.Bool
+	reader atomic.Bool  // this router reads for others
+	last   atomic.Int64 // when the probe was last answered, in Unix nanoseconds
+}
+
+// wait holds a kind's watcher back while another one probes.
+func (o *outage) wait(ctx context.Context, kind plat.Key) {
+	for kind != o.probe && o.lost.Load() && ctx.Err() == nil {
+		sleep(ctx, outagePoll)
+	}
+}
+
+// longest is the longest pause between failed calls.
+func (o *outage) longest() time.Duration {
+	if o.reader.Load() {
+		return retryLast
+	}
+	return retryFollower
+}
+
+// told takes in the outcome of a call.
+func (o *outage) told(now time.Time, kind plat.Key, failed bool) {
+	if kind != o.probe {
+		return
+	}
+	o.lost.Store(failed)
+	if !failed {
+		o.last.Store(now.UnixNano())
+	}
+}
+
+// answered tells whether the store has answered this router lately.
+func (o *outage) answered(now time.Time, within time.Duration) bool {
+	return now.Sub(time.Unix(0, o.last.Load())) < within
+}
+
 // Store is what is read and written of the platform's store.
 type Store interface {
 	ListAt(ctx context.Context, class plat.Class, prefix plat.Key) ([]plat.Object, plat.Version, error)
@@ -40,6 +86,8 @@
 	clock func() time.Time
 	gate  *gate
 	reset func() // drops connections that may be dead
+	// outage is shared by all watchers.
+	outage *outage
 	// state gives the version up to which the kind is known, and whether it is.
 	state func() (plat.Version, bool)
 	// take takes in what was read, lapse that it must be listed again.
@@ -52,8 +100,10 @@
 func (w *watcher) run(ctx context.Context) {
 	pause := retryFirst
 	for w.gate.wait(ctx) {
+		w.outage.wait(ctx, w.kind)
 		began := w.clock()
 		err := w.call(ctx)
+		w.outage.told(w.clock(), w.kind, err != nil && !errors.Is(err, plat.ErrCompacted))
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -63,7 +113,7 @@
 		case err != nil:
 			w.fail(err)
 			sleep(ctx, spread(pause))
-			pause = min(2*pause, retryLast)
+			pause = min(2*pause, w.outage.longest())
 		default:
 			w.succeed()
 			pause = retryFirst
