--- /dev/null
+++ b/internal/paths/paths_test.go
@@ -0,0 +1,61 @@
+package paths_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/marigoldscale/marigoldscale/internal/paths"
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+var _ = Describe("Config", func() {
+	short := &paths.Route{ID: "short", Host: "a.example", Prefix: "/x/"}
+	long := &paths.Route{ID: "long", Host: "a.example", Prefix: "/x/y/"}
+	other := &paths.Route{ID: "other", Host: "b.example", Prefix: "/", Split: []paths.Weighted{{Service: "s", Weight: 90}, {Service: "t", Weight: 10}}}
+	team := &paths.Team{ID: "ledger", Keys: []string{"k1", "k2"}}
+	config := paths.New(3, []*paths.Route{short, long, other}, nil, []*paths.Team{team}, paths.Limits{})
+
+	DescribeTable("matches the longest prefix of the host",
+		func(host, path string, want paths.RouteID) {
+			r, ok := config.Match(host, path)
+			Expect(ok).To(Equal(want != ""))
+			if ok {
+				Expect(r.ID).To(Equal(want))
+			}
+		},
+		Entry("long", "a.example", "/x/y/z", paths.RouteID("long")),
+		Entry("short", "a.example", "/x/z", paths.RouteID("short")),
+		Entry("a prefix ends at a slash", "a.example", "/x/yz", paths.RouteID("short")),
+		Entry("not within the prefix", "a.example", "/xy", paths.RouteID("")),
+		Entry("other host", "b.example", "/x/y/", paths.RouteID("other")),
+		Entry("unknown host", "c.example", "/", paths.RouteID("")),
+	)
+
+	It("finds a team by any of its keys only", func() {
+		found, ok := config.Team("k2")
+		Expect(ok).To(BeTrue())
+		Expect(found).To(Equal(team))
+		_, ok = config.Team("k3")
+		Expect(ok).To(BeFalse())
+	})
+
+	It("splits in proportion to the weights", func() {
+		counts := map[ident.ServiceID]int{}
+		for seed := range uint64(1000) {
+			counts[other.Service(seed)]++
+		}
+		Expect(counts).To(Equal(map[ident.ServiceID]int{"s": 900, "t": 100}))
+		Expect(short.Service(7)).To(BeEmpty())
+	})
+
+	DescribeTable("says what may run again",
+		func(kind paths.Kind, resume, want bool) {
+			r := paths.Route{Kind: kind, Resume: resume}
+			Expect(r.Repeatable()).To(Equal(want))
+		},
+		Entry("once", paths.KindOnce, true, false),
+		Entry("idempotent", paths.KindIdempotent, false, true),
+		Entry("a stream that cannot be resumed", paths.KindStream, false, false),
+		Entry("a stream that can", paths.KindStream, true, true),
+	)
+})
--- /dev/null
+++ b/internal/world/world_test.go
@@ -0,0 +1,181 @@
+package world_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/marigoldscale/marigoldscale/internal/paths"
+	"github.com/marigoldscale/marigoldscale/internal/roll"
+	"github.com/marigoldscale/marigoldscale/internal/world"
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+func endpoint(id ident.EndpointID, version ident.VersionID) world.Announcement {
+	return world.Announcement{Endpoint: world.Endpoint{ID: id, Service: "s", Address: "10.0.0.1:1", Zone: "z", Version: version, Slots: 4, Born: 1}}
+}
+
+func config(generation ident.Generation) *paths.Config {
+	return paths.New(generation, nil, []*paths.Service{{ID: "s", Cold: 3 * time.Second, ColdRate: 6}}, nil, paths.Limits{})
+}
+
+func ready(endpoints ...world.Announcement) *world.World {
+	w := world.New(world.Settings{Router: "r", Lapse: 2 * time.Second})
+	w.Step(start, world.Configured{Config: config(1)})
+	w.Step(start, world.Ordered{Whole: true})
+	w.Step(start, world.ZonesOut{Whole: true})
+	w.Step(start, world.Endpoints{Whole: true, Present: endpoints})
+	return w
+}
+
+func ids(w *world.World) []ident.EndpointID {
+	list := []ident.EndpointID{}
+	for _, e := range w.View().Endpoints("s") {
+		list = append(list, e.ID)
+	}
+	return list
+}
+
+var _ = Describe("World", func() {
+	It("is ready only when every kind was heard", func() {
+		w := world.New(world.Settings{})
+		for _, e := range []world.Event{world.Configured{Config: config(1)}, world.Ordered{Whole: true}, world.ZonesOut{Whole: true}} {
+			Expect(w.View().Ready).To(BeFalse())
+			w.Step(start, e)
+		}
+		w.Step(start, world.Endpoints{Whole: true})
+		Expect(w.View().Ready).To(BeTrue())
+	})
+
+	It("never goes back to an older configuration", func() {
+		w := ready()
+		w.Step(at(1), world.Configured{Config: config(5)})
+		notes := w.Step(at(2), world.Configured{Config: config(4)})
+		Expect(w.View().Config.Generation).To(Equal(ident.Generation(5)))
+		Expect(notes).To(ConsistOf(HaveField("What", "configuration ignored")))
+	})
+
+	It("sends nothing more to an endpoint that leaves or is removed", func() {
+		w := ready(endpoint("a", "v1"), endpoint("b", "v1"), endpoint("c", "v1"))
+		leaving := endpoint("a", "v1")
+		leaving.Endpoint.Leaving = true
+		w.Step(at(1), world.Endpoints{Present: []world.Announcement{leaving}, Gone: []ident.EndpointID{"b"}})
+		Expect(ids(w)).To(Equal([]ident.EndpointID{"c"}))
+	})
+
+	It("keeps entries that lapsed while the store was away until it was back for a while", func() {
+		w := ready(endpoint("a", "v1"), endpoint("b", "v1"))
+		w.Step(at(1), world.Away{})
+		w.Step(at(9), world.Back{})
+		w.Step(at(9), world.Endpoints{Gone: []ident.EndpointID{"a", "b"}})
+		Expect(ids(w)).To(HaveLen(2))
+		w.Step(at(10), world.Endpoints{Present: []world.Announcement{endpoint("b", "v1")}})
+		w.Expire(at(10.9))
+		Expect(ids(w)).To(HaveLen(2))
+		w.Expire(at(11))
+		Expect(ids(w)).To(Equal([]ident.EndpointID{"b"}))
+	})
+
+	It("takes a removal for a leave while the store is well", func() {
+		w := ready(endpoint("a", "v1"), endpoint("b", "v1"))
+		w.Step(at(1), world.Away{})
+		w.Step(at(2), world.Back{})
+		w.Step(at(5), world.Endpoints{Gone: []ident.EndpointID{"a"}})
+		Expect(ids(w)).To(Equal([]ident.EndpointID{"b"}))
+	})
+
+	It("takes the endpoints of a zone that is put back for cold", func() {
+		w := ready(endpoint("a", "v1"))
+		w.Step(at(1), world.ZonesOut{Out: []ident.ZoneID{"z"}})
+		Expect(ids(w)).To(BeEmpty())
+		w.Step(at(5), world.ZonesOut{Back: []ident.ZoneID{"z"}})
+		Expect(ids(w)).To(HaveLen(1))
+		Expect(w.View().Endpoints("s")[0].Cold(at(7.9))).To(BeTrue())
+		Expect(w.View().Endpoints("s")[0].Cold(at(8))).To(BeFalse())
+	})
+
+	It("knows a new life of an endpoint under its old id", func() {
+		w := ready(endpoint("a", "v1"))
+		again := endpoint("a", "v1")
+		again.Endpoint.Born, again.Cold = 2, 3*time.Second
+		notes := w.Step(at(1), world.Endpoints{Present: []world.Announcement{again}})
+		Expect(notes).To(ConsistOf(HaveField("What", "endpoint restarted")))
+		Expect(w.View().Endpoints("s")[0].Cold(at(3))).To(BeTrue())
+	})
+
+	It("makes no new view of heartbeats", func() {
+		w := ready(endpoint("a", "v1"))
+		before := w.View()
+		w.Step(at(1), world.Endpoints{Present: []world.Announcement{endpoint("a", "v1")}})
+		Expect(w.View()).To(BeIdenticalTo(before))
+	})
+
+	Describe("versions", func() {
+		order := func(w *world.World, now time.Time, stage world.Stage, revision uint64) {
+			w.Step(now, world.Ordered{Present: []world.Rollout{{
+				Service: "s", Target: "v2", Duration: 24 * time.Second, Stage: stage, Revision: revision, Order: "1",
+			}}})
+		}
+
+		It("uses no version that nobody ordered", func() {
+			w := ready(endpoint("a", "v1"), endpoint("b", "v1"))
+			w.Step(at(1), world.Endpoints{Present: []world.Announcement{endpoint("c", "v2")}})
+			Expect(ids(w)).To(Equal([]ident.EndpointID{"a", "b"}))
+			order(w, at(2), world.StageTrial, 1)
+			Expect(ids(w)).To(HaveLen(3))
+		})
+
+		It("leaves the target alone once it is undone, and the old one once it is finished", func() {
+			w := ready(endpoint("a", "v1"), endpoint("c", "v2"), endpoint("b", "v1"))
+			order(w, at(1), world.StageUndone, 2)
+			Expect(ids(w)).To(Equal([]ident.EndpointID{"a", "b"}))
+			order(w, at(2), world.StageTrial, 1) // older than what is known
+			Expect(ids(w)).To(Equal([]ident.EndpointID{"a", "b"}))
+			order(w, at(3), world.StageFinished, 5)
+			Expect(ids(w)).To(Equal([]ident.EndpointID{"c"}))
+		})
+
+		rollout := func(stage world.Stage, entered time.Time) world.Rollout {
+			return world.Rollout{Service: "s", Target: "v2", Duration: 20 * time.Second, Stage: stage, Seen: start, Entered: entered}
+		}
+		enough := roll.Finish{Step: 1}
+
+		It("moves the load only after the trial's time and answers", func() {
+			r := rollout(world.StageTrial, start)
+			next := func(now time.Time, d roll.Decision) world.Stage {
+				stage, _ := r.Next(now, d, 0)
+				return stage
+			}
+			Expect(next(at(9), enough)).To(Equal(world.StageTrial))
+			Expect(next(at(11), roll.Hold{Seen: 3})).To(Equal(world.StageTrial))
+			Expect(next(at(19), roll.Hold{Seen: 3})).To(Equal(world.StageTrial))
+			Expect(next(at(11), roll.Finish{Strength: 0.4})).To(Equal(world.StageTrial))
+			Expect(next(at(14), roll.Finish{Strength: 0.4})).To(Equal(world.StageMoving))
+			Expect(next(at(11), enough)).To(Equal(world.StageMoving))
+		})
+
+		It("steps back at once, at any stage and whoever's turn it is", func() {
+			for _, stage := range []world.Stage{world.StageTrial, world.StageMoving} {
+				r := rollout(stage, start)
+				next, reason := r.Next(at(0.1), roll.Withdraw{Reason: "worse"}, 1)
+				Expect(next).To(Equal(world.StageUndone))
+				Expect(reason).To(Equal("worse"))
+			}
+		})
+
+		It("gives a trial less than the exposure allowed, and the old version nothing before the end", func() {
+			r := rollout(world.StageTrial, start)
+			Expect(r.Share(at(5), 0.15)).To(And(BeNumerically(">", 0.05), BeNumerically("<", 0.15)))
+			moving := rollout(world.StageMoving, start)
+			Expect(moving.Share(at(1), 0.15)).To(BeNumerically("<", 0.5))
+			Expect(moving.Share(at(4.9), 0.15)).To(Equal(ident.Share(1)))
+		})
+	})
+})
