--- a/internal/world/rollout.go
+++ b/internal/world/rollout.go
@@ -11,11 +11,11 @@
 
 // The stages of a roll-out.
 const (
-	StageOrdered  Stage = ""            // no router has taken it up
-	StageTrial    Stage = "trial"       // a small share goes to the target
-	StageMoving   Stage = "moving"      // all new requests go to the target
-	StageFinished Stage = "completed"   // only the target is left
-	StageUndone   Stage = "rolled_back" // nothing goes to the target
+	StageOrdered  Stage = ""         // no router has taken it up
+	StageTrial    Stage = "trial"    // a small share goes to the target
+	StageMoving   Stage = "moving"   // all new requests go to the target
+	StageFinished Stage = "finished" // only the target is left
+	StageUndone   Stage = "undone"   // nothing goes to the target
 )
 
 // Rollout is an order to bring a service to a version.
