Ask the larger model by what its answer will earn; know all routers' waiting work

Cause: a fixed confidence asked the larger model also when its queue was longer than the objective, and each of many routers saw only its own part of a queue.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -81,6 +81,7 @@
 		return nil, fmt.Errorf("making the relay: %w", err)
 	}
 	e.server = server
+	e.steer.Measure(server.Waiting)
 	e.idle = newIdleLimits()
 	return e, nil
 }
@@ -92,7 +93,7 @@
 	}
 	return relay.Settings{
 		Router: s.Router, Zone: s.Zone, Regions: regions,
-		Retries: relay.RetryLimits{Share: s.Retries.Share, Extra: s.Retries.Extra},
+		Retries: relay.RetryLimits{Share: s.Retries.Share, Extra: s.Retries.Extra, Window: s.Retries.Window},
 	}
 }
 
--- a/internal/feed/frame.go
+++ b/internal/feed/frame.go
@@ -35,6 +35,10 @@
 	// Evidence is what package steer exchanges on versions, opaque here.
 	Evidence []json.RawMessage `json:"evidence,omitempty"`
 	Kept     []Kept            `json:"kept,omitempty"`
+	// Work is what waits at endpoints for a first event, in milliseconds: of
+	// the sender and its followers on the way up, of all routers on the way
+	// down.
+	Work map[ident.EndpointID]int64 `json:"work,omitempty"`
 }
 
 // Kept tells of a session that stays on its version for a while.
--- a/internal/pass/course.go
+++ b/internal/pass/course.go
@@ -21,7 +21,7 @@
 type Course struct {
 	request  Request
 	budget   *retry.Budget
-	ladder   []Rung
+	ladder   []ident.ModelID
 	rung     int
 	attempts []attempt
 	reached  int // attempts that were sent to an endpoint of the service
@@ -50,7 +50,7 @@
 // New makes the course of a request. Attempts after the first are taken from
 // the budget. The ladder names the models to try, the first one first; it is
 // empty if the model is the caller's choice.
-func New(r Request, ladder []Rung, budget *retry.Budget) *Course {
+func New(r Request, ladder []ident.ModelID, budget *retry.Budget) *Course {
 	return &Course{request: r, ladder: ladder, budget: budget, last: r.After}
 }
 
@@ -102,7 +102,7 @@
 	if len(c.ladder) == 0 {
 		return ""
 	}
-	return c.ladder[c.rung].Model
+	return c.ladder[c.rung]
 }
 
 func (c *Course) placed(now time.Time, p Placed) []Action {
@@ -149,7 +149,7 @@
 	a.first = now.Sub(a.started)
 	c.ran = true
 	actions := c.others(h.Attempt)
-	if c.escalates(now, h.Head) {
+	if c.escalates(now, h) {
 		actions = append(actions, c.drop(h.Attempt, route.OutcomeDone, false)...)
 		c.rung++
 		return append(actions, c.place()...)
@@ -168,19 +168,26 @@
 	return nil
 }
 
+// Next gives the model that would be asked in place of the one now asked, ""
+// if there is none.
+func (c *Course) Next() ident.ModelID {
+	if c.opened || c.rung+1 >= len(c.ladder) || !c.more() {
+		return ""
+	}
+	return c.ladder[c.rung+1]
+}
+
 // escalates tells whether the answer whose head has come is to be dropped for
 // a larger model's.
-func (c *Course) escalates(now time.Time, h Head) bool {
-	if len(c.ladder) == 0 || c.rung+1 >= len(c.ladder) || !c.more() {
+func (c *Course) escalates(now time.Time, h Headed) bool {
+	if c.Next() == "" {
 		return false
 	}
-	if h.Confidence < 0 || h.Confidence >= c.ladder[c.rung].Accept {
-		return false
-	}
-	if c.request.Limit.Sub(now) < c.ladder[c.rung+1].Least {
-		return false
+	d := Doubt{
+		Confidence: h.Head.Confidence, Elapsed: now.Sub(c.request.Arrived), Next: h.Next, Work: h.Work,
+		Objective: c.request.Route.Objective, Left: c.request.Limit.Sub(now),
 	}
-	return c.budget.Take(now)
+	return d.Asks() && c.budget.Take(now)
 }
 
 func (c *Course) piece(p Piece) []Action {
--- a/internal/pass/event.go
+++ b/internal/pass/event.go
@@ -34,6 +34,8 @@
 type Headed struct {
 	Attempt Attempt
 	Head    Head
+	Next    time.Duration // foreseen to the first event of the next model, if there is one
+	Work    time.Duration // of Next, that model's own work
 }
 
 // Piece brings one whole event of a stream, with its id.
--- a/internal/pass/ladder.go
+++ b/internal/pass/ladder.go
@@ -1,17 +1,17 @@
 package pass
 
-import (
-	"github.com/marigoldscale/marigoldscale/internal/paths"
-)
+import "github.com/marigoldscale/marigoldscale/pkg/ident"
 
-// Ladder gives the models to try for a request, the first one first. It is
-// empty if the caller or nobody names the model.
-func Ladder(q Request, _ *paths.Service) []Rung {
+// Ladder gives the models to try for a request, the first one first: the
+// smallest, whose answer tells how sure it is, and the largest in its place. It
+// is empty if the model is not the router's to choose.
+func Ladder(q Request) []ident.ModelID {
 	models := q.Route.Models
 	if len(models) == 0 || q.Model != AnyModel {
 		return nil
 	}
-	return []Rung{{Model: models[0], Accept: accept}, {Model: models[len(models)-1]}}
+	if len(models) == 1 {
+		return models
+	}
+	return []ident.ModelID{models[0], models[len(models)-1]}
 }
-
-const accept = 40
--- a/internal/pass/wait.go
+++ b/internal/pass/wait.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/marigoldscale/marigoldscale/internal/paths"
-	"github.com/marigoldscale/marigoldscale/pkg/ident"
 )
 
 const (
@@ -28,13 +27,6 @@
 	urgentLevels = 4
 )
 
-// Rung is a model that a request is tried on.
-type Rung struct {
-	Model  ident.ModelID
-	Accept int           // confidence from which its answer is passed on
-	Least  time.Duration // time left in which it can be asked after a smaller one
-}
-
 // patience gives the time at which an attempt's silence is taken for a hung
 // endpoint. It answers the pattern of an endpoint whose health is good and
 // that leaves a part of its requests without an answer.
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -37,6 +37,7 @@
 	timer     *time.Timer
 	wakes     []time.Time
 	first     time.Duration
+	next      time.Duration // foreseen to the answer of the next model
 	sent      int
 	aborted   bool
 }
@@ -44,7 +45,7 @@
 // placement is what is noted of an attempt's place until its first answer.
 type placement struct {
 	endpoint ident.EndpointID
-	base     time.Duration
+	work     time.Duration // expected of the endpoint
 	settled  bool
 }
 
@@ -82,8 +83,7 @@
 	defer close(c.done)
 	budget := s.budget(q.Service)
 	budget.Earn(c.arrived)
-	ladder := pass.Ladder(q, s.control.View().Config.Services[q.Service])
-	c.machine = pass.New(q, ladder, budget)
+	c.machine = pass.New(q, pass.Ladder(q), budget)
 	c.timer = time.NewTimer(time.Hour)
 	defer c.timer.Stop()
 	c.apply(c.machine.Step(c.arrived, pass.Begin{}))
@@ -91,7 +91,7 @@
 		select {
 		case e := <-c.events:
 			c.settle(e)
-			c.step(e)
+			c.step(c.foresee(e))
 		case <-c.timer.C:
 			c.wakes = c.wakes[1:]
 			c.arm()
@@ -141,11 +141,7 @@
 func (c *call) place(p pass.Place) {
 	now := c.server.clock()
 	sites, endpoints := c.sites(now)
-	errand := route.Errand{
-		Seed: c.request.Seed, Zone: c.server.settings.Zone, Model: c.modelOr(p.Model),
-		Prompt: c.request.Prompt, Parts: c.request.Parts, Size: len(c.body),
-		Exclude: p.Exclude, Left: c.request.Limit.Sub(now), Routers: c.server.control.Routers(),
-	}
+	errand := c.errand(now, p.Model, p.Exclude)
 	pick := c.server.tempo.Choose(now, sites, errand, c.server.loads, c.server.prefixes)
 	if pick.Site < 0 {
 		c.step(pass.Unplaced{Attempt: p.Attempt, After: pick.After, Late: pick.Late})
@@ -155,15 +151,46 @@
 	c.log("placed", zap.Int("attempt", int(p.Attempt)), zap.String("endpoint", string(e.ID)),
 		zap.String("zone", string(e.Zone)), zap.String("version", string(e.Version)), zap.String("model", string(p.Model)),
 		zap.Duration("expected", pick.Expected), zap.Int64("uncached", int64(pick.Uncached)), zap.Int("sites", len(sites)), zap.String("session", string(c.request.Session)))
-	c.placed = append(c.placed, placement{endpoint: e.ID, base: pick.Base})
+	c.placed = append(c.placed, placement{endpoint: e.ID, work: pick.Work})
 	c.server.loads.Start(now, e.ID)
-	c.server.tempo.Start(e.ID, pick.Base)
+	c.server.tempo.Start(e.ID, pick.Work)
 	if n := len(c.request.Parts); n > 1 {
 		c.server.prefixes.Sent(e.ID, route.Chain(errand.Model, c.request.Parts[:n-1]))
 	}
 	c.step(pass.Placed{Attempt: p.Attempt, Endpoint: e, Expected: pick.Expected, Base: pick.Base, Uncached: pick.Uncached})
 }
 
+func (c *call) errand(now time.Time, model ident.ModelID, exclude []ident.EndpointID) route.Errand {
+	return route.Errand{
+		Seed: c.request.Seed, Zone: c.server.settings.Zone, Model: c.modelOr(model),
+		Prompt: c.request.Prompt, Parts: c.request.Parts, Size: len(c.body),
+		Exclude: exclude, Left: c.request.Limit.Sub(now),
+		Others: func(id ident.EndpointID) time.Duration { return c.server.control.Others(now, id) },
+	}
+}
+
+// foresee adds to a stream's head how soon the next model would answer.
+func (c *call) foresee(e pass.Event) pass.Event {
+	h, ok := e.(pass.Headed)
+	if !ok {
+		return e
+	}
+	next := c.machine.Next()
+	if next == "" {
+		return e
+	}
+	now := c.server.clock()
+	sites, _ := c.sites(now)
+	pick := c.server.tempo.Choose(now, sites, c.errand(now, next, nil), c.server.loads, c.server.prefixes)
+	if pick.Site < 0 {
+		h.Next = c.request.Limit.Sub(now) // nobody can answer in time
+		return h
+	}
+	h.Next, h.Work = pick.Expected, pick.Work
+	c.next = pick.Expected
+	return h
+}
+
 // modelOr names what the time of an answer depends on: the model, or the
 // service if there is none.
 func (c *call) modelOr(m ident.ModelID) ident.ModelID {
@@ -286,7 +313,7 @@
 	p := &c.placed[n]
 	if !p.settled {
 		p.settled = true
-		c.server.tempo.Settle(p.endpoint, p.base)
+		c.server.tempo.Settle(p.endpoint, p.work)
 	}
 }
 
@@ -310,7 +337,7 @@
 func (c *call) open(o pass.Open) {
 	c.first = c.server.clock().Sub(c.arrived)
 	r := c.exchanges[o.Attempt].response
-	c.log("opened", zap.Int("attempt", int(o.Attempt)),
+	c.log("opened", zap.Int("attempt", int(o.Attempt)), zap.Duration("next", c.next),
 		zap.Int("confidence", c.server.dialect.Head(r.StatusCode, r.Header).Confidence))
 	copyHead(c.w.Header(), r.Header)
 	c.w.Header().Del("Content-Length")
--- a/internal/relay/peer_test.go
+++ b/internal/relay/peer_test.go
@@ -147,6 +147,8 @@
 
 func (f *fixture) Observe(time.Time, paths.RouteID, ident.SessionKey, pass.Report) {}
 
+func (f *fixture) Others(time.Time, ident.EndpointID) time.Duration { return 0 }
+
 func (f *fixture) Routers() int { return 1 }
 
 func newFixture(r paths.Route, peers ...*peer) *fixture {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -40,8 +40,9 @@
 // RetryLimits bound how often requests are sent again, summed over all routers
 // and in any window.
 type RetryLimits struct {
-	Share ident.Share // of the requests
-	Extra int         // beyond the share, in each window
+	Share  ident.Share // of the requests
+	Extra  int         // beyond the share, in each window
+	Window time.Duration
 }
 
 // Control is what a Server asks of the router's shared state.
@@ -52,6 +53,9 @@
 	Version(now time.Time, v *world.View, service ident.ServiceID, key uint64, session ident.SessionKey) ident.VersionID
 	// Observe takes in how an attempt fared.
 	Observe(now time.Time, route paths.RouteID, session ident.SessionKey, report pass.Report)
+	// Others gives the work that other routers have sent to an endpoint and
+	// that has not answered yet.
+	Others(now time.Time, id ident.EndpointID) time.Duration
 	// Routers gives the number of routers that share the endpoints, at most.
 	Routers() int
 }
@@ -93,6 +97,10 @@
 // Stop makes answers tell callers to open their next connection elsewhere.
 func (s *Server) Stop() { s.stopping.Store(true) }
 
+// Waiting gives the work that waits at endpoints for a first event, in
+// milliseconds.
+func (s *Server) Waiting() map[ident.EndpointID]int64 { return s.tempo.Waiting() }
+
 // Running gives the number of requests in progress.
 func (s *Server) Running() int64 { return s.running.Load() }
 
@@ -116,7 +124,8 @@
 	b := s.budgets[service]
 	if b == nil {
 		burst := max(1, float64(s.settings.Retries.Extra)*retrySlack/float64(max(1, s.control.Routers())))
-		b = retry.NewLimited(s.settings.Retries.Share*retryMargin, burst, 0)
+		share := s.settings.Retries.Share
+		b = retry.NewWindowed(share*retryMargin, share*retrySpare, s.settings.Retries.Window, burst)
 		s.budgets[service] = b
 	}
 	return b
@@ -126,6 +135,9 @@
 	// retryMargin keeps the routers together under the allowed share, since
 	// requests and their repeats fall into different windows.
 	retryMargin = 0.85
+	// retrySpare is the part of the share by which a router's savings may grow;
+	// with retryMargin it stays below the whole.
+	retrySpare = 0.09
 	// retrySlack is the part of the allowance beyond the share that is used.
 	retrySlack = 0.5
 )
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -21,6 +21,9 @@
 	share  ident.Share
 	burst  float64
 	floor  float64
+	spare  ident.Share   // of the first attempts in a window, by which burst grows
+	window time.Duration // over which first attempts are counted
+	recent float64       // first attempts in the last window, decayed
 	tokens float64
 	last   time.Time
 }
@@ -36,12 +39,22 @@
 	return &Budget{share: share, burst: burst, floor: floor, tokens: burst}
 }
 
+// NewWindowed gives a budget for a limit that counts over windows: what is
+// saved up may grow by the spare share of the first attempts in a window.
+func NewWindowed(share, spare ident.Share, window time.Duration, burst float64) *Budget {
+	return &Budget{share: share, spare: spare, window: window, burst: burst, tokens: burst}
+}
+
+// most is the number of extra attempts saved up at most.
+func (b *Budget) most() float64 { return b.burst + float64(b.spare)*b.recent }
+
 // Earn records a first attempt.
 func (b *Budget) Earn(now time.Time) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	b.refill(now)
-	b.tokens = math.Min(b.tokens+float64(b.share), b.burst)
+	b.recent++
+	b.tokens = math.Min(b.tokens+float64(b.share), b.most())
 }
 
 // Take asks for one extra attempt, and tells whether it is allowed.
@@ -61,6 +74,10 @@
 		b.last = now
 		return
 	}
-	b.tokens = math.Min(b.tokens+now.Sub(b.last).Seconds()*b.floor, b.burst)
+	passed := now.Sub(b.last).Seconds()
+	if b.window > 0 {
+		b.recent *= math.Exp(-passed / b.window.Seconds())
+	}
+	b.tokens = math.Min(b.tokens+passed*b.floor, b.most())
 	b.last = now
 }
--- a/internal/route/parts.go
+++ b/internal/route/parts.go
@@ -47,7 +47,9 @@
 	Size    int // bytes that are sent and come back, estimated
 	Exclude []ident.EndpointID
 	Left    time.Duration // until the answer is of no use
-	Routers int           // that share the endpoints
+	// Others gives the work that other routers have sent to an endpoint and
+	// that has not answered yet.
+	Others func(ident.EndpointID) time.Duration
 }
 
 // Pick is the outcome of a choice.
@@ -55,6 +57,7 @@
 	Site     int           // index of the site chosen, -1 for none
 	Expected time.Duration // to the answer or first event
 	Base     time.Duration // the same without correction by experience
+	Work     time.Duration // of Base, the part that the endpoint works on this request
 	Uncached ident.Tokens  // of the prompt that are to be read
 	Cost     time.Duration // what the choice was made by
 	Late     bool          // there are sites, but none can answer in time
@@ -67,6 +70,9 @@
 	homeTrust = 0.7
 	// transferCost weighs a kilobyte moved between zones against waiting.
 	transferCost = time.Millisecond
+	// delayOthers weighs work against waiting: it delays the requests that come
+	// after, which waiting does not.
+	delayOthers = 0.7
 	// failureCost weighs the share of failed requests against waiting.
 	failureCost = 2 * time.Second
 	// spreadNoise parts sites of nearly equal cost, so that routers with the
@@ -120,13 +126,16 @@
 	}
 	work := t.first(e.Model, p.Uncached)
 	wait := t.backlog(s.Endpoint)
-	p.Base = work + wait
+	if e.Others != nil {
+		wait += e.Others(s.Endpoint)
+	}
+	p.Base, p.Work = work+wait, work
 	p.Expected = time.Duration(float64(p.Base) * l.Factor)
 	crowd := 1.0
 	if s.Slots > 0 {
-		crowd += float64(l.Running*max(1, min(e.Routers, crowdRouters))) / float64(s.Slots)
+		crowd += float64(l.Running) / float64(s.Slots)
 	}
-	p.Cost = time.Duration(float64(p.Expected)*crowd) + time.Duration(t.failures(now, s.Endpoint)*float64(failureCost))
+	p.Cost = time.Duration(float64(p.Expected)*crowd) + time.Duration(float64(work)*delayOthers) + time.Duration(t.failures(now, s.Endpoint)*float64(failureCost))
 	if s.Zone != e.Zone {
 		p.Cost += zonePenalty + transferCost*time.Duration(e.Size/1024)
 	}
@@ -134,10 +143,6 @@
 	return p
 }
 
-// crowdRouters bounds the factor by which own requests in flight stand for
-// those of all routers.
-const crowdRouters = 8
-
 // cached gives the tokens of the prompt that the site is expected to hold.
 func cached(s *Site, e Errand, chain []uint64, home bool, prefixes *Prefixes) ident.Tokens {
 	if len(chain) < 2 {
--- a/internal/route/tempo.go
+++ b/internal/route/tempo.go
@@ -61,9 +61,9 @@
 	}
 }
 
-// Start notes that a request with an expected time to its first event was
+// Start notes that a request with an expected work until its first event was
 // sent to the endpoint.
-func (t *Tempo) Start(endpoint ident.EndpointID, expected time.Duration) {
+func (t *Tempo) Start(endpoint ident.EndpointID, work time.Duration) {
 	t.lock.Lock()
 	defer t.lock.Unlock()
 	q := t.waiting[endpoint]
@@ -71,24 +71,38 @@
 		q = &queue{}
 		t.waiting[endpoint] = q
 	}
-	q.pending += expected
+	q.pending += work
 	q.count++
 }
 
 // Settle notes that the request's first event came, or that none will.
-func (t *Tempo) Settle(endpoint ident.EndpointID, expected time.Duration) {
+func (t *Tempo) Settle(endpoint ident.EndpointID, work time.Duration) {
 	t.lock.Lock()
 	defer t.lock.Unlock()
 	q := t.waiting[endpoint]
 	if q == nil {
 		return
 	}
-	q.pending -= expected
+	q.pending -= work
 	if q.count--; q.count <= 0 {
 		delete(t.waiting, endpoint)
 	}
 }
 
+// Waiting gives the expected work of own requests without a first event, in
+// milliseconds.
+func (t *Tempo) Waiting() map[ident.EndpointID]int64 {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	work := make(map[ident.EndpointID]int64, len(t.waiting))
+	for id, q := range t.waiting {
+		if ms := q.pending.Milliseconds(); ms > 0 {
+			work[id] = ms
+		}
+	}
+	return work
+}
+
 // Measure takes in the time to a first event after reading uncached tokens.
 func (t *Tempo) Measure(model ident.ModelID, uncached ident.Tokens, first time.Duration) {
 	t.lock.Lock()
--- a/internal/setup/relay.go
+++ b/internal/setup/relay.go
@@ -44,8 +44,9 @@
 
 // Retries bound how often requests are sent again, over all routers.
 type Retries struct {
-	Share ident.Share // of the requests in a window
-	Extra int         // beyond the share, in each window
+	Share  ident.Share // of the requests in a window
+	Extra  int         // beyond the share, in each window
+	Window time.Duration
 }
 
 // RelayTimes are the bounds that the router keeps to.
@@ -64,7 +65,7 @@
 	return Relay{
 		Log:      Log{Level: "info"},
 		Limits:   RelayLimits{Memory: 256, Share: 1, Link: 1000, Reads: 2000, Writes: 400},
-		Retries:  Retries{Share: 0.1, Extra: 10},
+		Retries:  Retries{Share: 0.1, Extra: 10, Window: 10 * time.Second},
 		Exposure: 0.1,
 		Times: RelayTimes{
 			Grace: 10 * time.Second, Drain: 2 * time.Second, Apply: 2 * time.Second,
@@ -121,6 +122,7 @@
 		}},
 		{Name: "retries", Fields: []input.Field[Relay]{
 			input.Float("share", "of the requests", 0, 10, preset.Retries.Share, func(s *Relay) *ident.Share { return &s.Retries.Share }),
+			input.Duration("window", time.Second, time.Hour, preset.Retries.Window, func(s *Relay) *time.Duration { return &s.Retries.Window }),
 			input.Int("extra", "requests", 0, 1000000, preset.Retries.Extra, func(s *Relay) *int { return &s.Retries.Extra }),
 		}},
 		{Name: "times", Fields: []input.Field[Relay]{
--- a/internal/steer/follow.go
+++ b/internal/steer/follow.go
@@ -38,7 +38,7 @@
 	startWait      = time.Second
 	startWaitFirst = 4 * time.Second
 	// evidenceEvery is the pause between evidence sent to the one followed.
-	evidenceEvery = 400 * time.Millisecond
+	evidenceEvery = 300 * time.Millisecond
 )
 
 // link is the state of the stream from the router that is followed.
@@ -142,6 +142,7 @@
 			current = t.follow(ctx, now, plan.Follow)
 		}
 		t.outage.reader.Store(plan.Reader)
+		t.first.Store(plan.Follow.Router == "")
 		// A router that knows nothing yet waits for a link just opened.
 		waits := !fresh && current != nil && !t.View().Ready && !t.hub.Followed() && !plan.Reader &&
 			now.Sub(began) < t.startWait()
@@ -253,16 +254,26 @@
 	t.mirrorLock.Unlock()
 	t.merge(f.Evidence)
 	t.kept.take(now, f.Kept)
+	if f.Work != nil {
+		t.loads.setTotal(now, f.Work)
+	}
 }
 
 // testify sends evidence and sessions kept to the router that is followed, until ctx ends.
 func (t *Steer) testify(ctx context.Context, stream *feed.Link) {
 	var mark evidenceMark
 	var sessions uint64
+	wasIdle := true
 	for ctx.Err() == nil {
 		sleep(ctx, evidenceEvery)
-		f := feed.Frame{From: t.settings.Router, Evidence: t.evidence(&mark), Kept: t.kept.since(t.clock(), &sessions)}
-		if len(f.Evidence)+len(f.Kept) > 0 {
+		now := t.clock()
+		f := feed.Frame{
+			From: t.settings.Router, Evidence: t.evidence(&mark),
+			Kept: t.kept.since(now, &sessions), Work: t.loads.sum(now),
+		}
+		idle := len(f.Work) == 0
+		if len(f.Evidence)+len(f.Kept) > 0 || !idle || !wasIdle {
+			wasIdle = idle
 			if stream.Send(f) != nil {
 				return // the receiver sees that the link is broken
 			}
@@ -328,11 +339,18 @@
 	t.mirrorLock.Lock()
 	defer t.mirrorLock.Unlock()
 	now := t.clock()
-	return feed.Frame{Ages: t.ages(now), Evidence: t.evidence(&t.told), Kept: t.kept.since(now, &t.toldKept)}
+	work := t.loads.getTotal(now)
+	if t.first.Load() {
+		work = t.loads.sum(now)
+		t.loads.setTotal(now, work)
+	}
+	return feed.Frame{Work: work, Ages: t.ages(now), Evidence: t.evidence(&t.told), Kept: t.kept.since(now, &t.toldKept)}
 }
 
 // Heard takes in what a follower sends.
 func (t *Steer) Heard(f feed.Frame) {
 	t.merge(f.Evidence)
-	t.kept.take(t.clock(), f.Kept)
+	now := t.clock()
+	t.kept.take(now, f.Kept)
+	t.loads.hear(now, f.From, f.Work)
 }
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -78,9 +78,11 @@
 	view     atomic.Pointer[world.View]
 	count    atomic.Int64 // of routers
 	hub      *feed.Hub
-	gate     *gate // open while this router reads the store
+	first    atomic.Bool // this router follows no other
+	gate     *gate       // open while this router reads the store
 	watchers map[plat.Key]*watcher
 	outage   *outage
+	loads    *loads
 	pins     *pins
 	kept     *kept
 	toldKept uint64 // up to which followers were told of sessions kept
@@ -110,7 +112,7 @@
 	t := &Steer{
 		settings: s, kinds: kinds, store: store, log: log, clock: clock,
 		gate: newGate(), roster: feed.NewRoster(feed.Peer{Router: s.Router, Address: s.Feed, Power: s.Power}),
-		pins: pins, kept: newKept(), world: w, odd: map[plat.Key]plat.Version{}, trials: newTrials(s, clock()),
+		pins: pins, loads: newLoads(), kept: newKept(), world: w, odd: map[plat.Key]plat.Version{}, trials: newTrials(s, clock()),
 	}
 	t.count.Store(routersUnknown)
 	t.hub = feed.NewHub(t)
