--- a/internal/feed/plan.go
+++ b/internal/feed/plan.go
@@ -13,7 +13,7 @@
 const (
 	// followersEach is the number of routers for which one more router reads
 	// the store: a reader sends each of them a few frames a second.
-	followersEach = 25
+	followersEach = 45
 	// downFirst and downLast bound how long a router that did not answer, or
 	// whose news were old, is passed over; the time doubles.
 	downFirst = 3 * time.Second
