--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -42,7 +42,7 @@
 			readers, followed := map[ident.RouterID]bool{}, map[ident.RouterID]int{}
 			list := peers(n)
 			for i, r := range rosters(list) {
-				p := r.Plan(start, true, false)
+				p := r.Plan(start, feed.State{Fresh: true})
 				if p.Read {
 					readers[list[i].Router] = true
 				}
@@ -61,21 +61,32 @@
 	It("reads at once when the news are not fresh, and goes to another router", func() {
 		list := peers(8)
 		for i, r := range rosters(list) {
-			p := r.Plan(start, true, false)
+			p := r.Plan(start, feed.State{Fresh: true})
 			if p.Reader {
 				continue
 			}
-			Expect(r.Plan(start, false, false).Read).To(BeTrue())
+			Expect(r.Plan(start, feed.State{}).Read).To(BeTrue())
 			r.Down(start, p.Follow.Router)
-			other := r.Plan(start, true, false)
+			other := r.Plan(start, feed.State{Fresh: true})
 			Expect(other.Follow.Router).NotTo(Equal(p.Follow.Router), "router %d", i)
-			Expect(r.Plan(start.Add(4*time.Second), true, false).Follow).To(Equal(p.Follow))
+			Expect(r.Plan(start.Add(4*time.Second), feed.State{Fresh: true}).Follow).To(Equal(p.Follow))
 		}
 	})
 
 	It("reads while it is followed", func() {
 		for _, r := range rosters(peers(8)) {
-			Expect(r.Plan(start, true, true).Read).To(BeTrue())
+			Expect(r.Plan(start, feed.State{Fresh: true, Followed: true}).Read).To(BeTrue())
+		}
+	})
+
+	It("follows the next router when the first of all is cut off from the store", func() {
+		list := peers(8)
+		for _, r := range rosters(list) {
+			if p := r.Plan(start, feed.State{}); p.Reader {
+				cut := r.Plan(start, feed.State{Cut: true})
+				Expect(cut.Read).To(BeTrue())
+				Expect(cut.Follow.Router).NotTo(BeEmpty())
+			}
 		}
 	})
 
@@ -84,14 +95,14 @@
 		list[7].Power, list[8].Power = 200, 150
 		r := feed.NewRoster(list[0])
 		r.Know(list)
-		Expect(r.Plan(start, true, false).Follow.Router).To(BeElementOf(list[7].Router, list[8].Router))
+		Expect(r.Plan(start, feed.State{Fresh: true}).Follow.Router).To(BeElementOf(list[7].Router, list[8].Router))
 	})
 
 	It("knows itself although its entry is missing", func() {
 		list := peers(8)
 		r := feed.NewRoster(feed.Peer{Router: "other", Address: "a:1"})
 		r.Know(list)
-		Expect(r.Plan(start, true, false).Read).To(Or(BeTrue(), BeFalse()))
+		Expect(r.Plan(start, feed.State{Fresh: true}).Read).To(Or(BeTrue(), BeFalse()))
 	})
 })
 
@@ -106,7 +117,9 @@
 	return feed.News{Kind: "k/", Upto: 3, Changes: []plat.Change{{Object: o, At: 3}}}
 }
 
-func (s *source) Snapshot() feed.Frame { return feed.Frame{From: "hub", News: []feed.News{news("k/a", 100000)}} }
+func (s *source) Snapshot() feed.Frame {
+	return feed.Frame{From: "hub", News: []feed.News{news("k/a", 100000)}}
+}
 
 func (s *source) Beat() feed.Frame {
 	return feed.Frame{Ages: map[plat.Key]time.Duration{"k/": time.Millisecond}}
--- a/internal/feed/plan.go
+++ b/internal/feed/plan.go
@@ -84,19 +84,38 @@
 // Up notes that a router has sent fresh news.
 func (r *Roster) Up(id ident.RouterID) { delete(r.down, id) }
 
-// Plan decides. Fresh tells whether the router now followed sends fresh news,
-// followed whether others follow this one.
-func (r *Roster) Plan(now time.Time, fresh, followed bool) Plan {
+// State is what a plan depends on.
+type State struct {
+	Fresh    bool // the router now followed sends fresh news
+	Followed bool // others follow this one
+	Cut      bool // the store does not answer this router
+}
+
+// Plan decides.
+func (r *Roster) Plan(now time.Time, s State) Plan {
 	readers := r.readers(now)
 	at := slices.IndexFunc(readers, func(p Peer) bool { return p.Router == r.self })
 	switch {
+	case at == 0 && s.Cut:
+		return Plan{Read: true, Reader: true, Follow: r.after(now)}
 	case at == 0:
 		return Plan{Read: true, Reader: true}
 	case at > 0:
 		return Plan{Read: true, Reader: true, Follow: readers[0]}
 	}
 	mine := readers[rank(r.self)%uint64(len(readers))]
-	return Plan{Read: !fresh || followed, Follow: mine}
+	return Plan{Read: !s.Fresh || s.Followed, Follow: mine}
+}
+
+// after gives the first router of the ranking that is not this one: it reads
+// once it is followed.
+func (r *Roster) after(now time.Time) Peer {
+	for _, p := range r.peers {
+		if a, ok := r.down[p.Router]; p.Router != r.self && (!ok || !now.Before(a.until)) {
+			return p
+		}
+	}
+	return Peer{}
 }
 
 // readers lists the routers that should read the store, by rank.
--- a/internal/steer/follow.go
+++ b/internal/steer/follow.go
@@ -132,7 +132,7 @@
 		if fresh {
 			t.roster.Up(current.peer.Router)
 		}
-		plan := t.roster.Plan(now, fresh, t.hub.Followed())
+		plan := t.roster.Plan(now, feed.State{Fresh: fresh, Followed: t.hub.Followed(), Cut: t.outage.lost.Load()})
 		t.rosterLock.Unlock()
 		if current != nil && plan.Follow.Router != current.peer.Router {
 			current.cancel()
