--- a/internal/logs/bounded.go
+++ b/internal/logs/bounded.go
@@ -40,7 +40,7 @@
 	config := zap.NewProductionEncoderConfig()
 	config.TimeKey = "time"
 	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	config.EncodeDuration = zapcore.MillisDurationEncoder
+	config.EncodeDuration = zapcore.SecondsDurationEncoder
 	encoder := zapcore.NewJSONEncoder(config)
 	limited := zapcore.SamplerHook(func(_ zapcore.Entry, d zapcore.SamplingDecision) {
 		if d&zapcore.LogDropped != 0 {
--- /dev/null
+++ b/internal/logs/bounded_test.go
@@ -0,0 +1,110 @@
+package logs_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/marigoldscale/marigoldscale/internal/logs"
+)
+
+// buffer is a writer that may be read while it is written.
+type buffer struct {
+	lock sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *buffer) Write(p []byte) (int, error) {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *buffer) lines() []string {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	return strings.Split(strings.TrimSpace(b.text.String()), "\n")
+}
+
+func TestBoundedWritesJSONLines(t *testing.T) {
+	var b buffer
+	log, _, stop, err := logs.NewBounded("info", &b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	log.Info("placed", zap.String("request", "a"), zap.Duration("took", 1500*time.Microsecond))
+	log.Debug("not shown")
+	stop(time.Second)
+	lines := b.lines()
+	if len(lines) != 1 {
+		t.Fatalf("got %d lines: %v", len(lines), lines)
+	}
+	var line map[string]any
+	if err := json.Unmarshal([]byte(lines[0]), &line); err != nil {
+		t.Fatal(err)
+	}
+	if line["msg"] != "placed" || line["request"] != "a" || line["took"] != 0.0015 {
+		t.Errorf("got %v", line)
+	}
+}
+
+func TestBoundedKeepsRefusalsBeforeSuccesses(t *testing.T) {
+	var b buffer
+	log, lost, stop, err := logs.NewBounded("info", &b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 300 {
+		log.Info("answered")
+		log.Warn("refused")
+		time.Sleep(100 * time.Microsecond) // the writer keeps up
+	}
+	stop(time.Second)
+	answered, refused := 0, 0
+	for _, l := range b.lines() {
+		answered += strings.Count(l, `"answered"`)
+		refused += strings.Count(l, `"refused"`)
+	}
+	if refused != 300 || answered >= 300 || lost.Limited.Load() != int64(300-answered) {
+		t.Errorf("%d answered, %d refused, %d limited", answered, refused, lost.Limited.Load())
+	}
+}
+
+func TestBoundedNeverBlocks(t *testing.T) {
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer reader.Close()
+	defer writer.Close()
+	log, lost, stop, err := logs.NewBounded("info", writer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	long := zap.String("long", strings.Repeat("x", 4000))
+	began := time.Now()
+	for i := range 6000 {
+		log.Warn("kind "+string(rune('a'+i%26)), long) // nobody reads the pipe
+	}
+	took := time.Since(began)
+	stop(10 * time.Millisecond)
+	if took > 5*time.Second {
+		t.Errorf("6000 lines took %v", took)
+	}
+	if lost.Blocked.Load() == 0 {
+		t.Error("no line was counted as lost")
+	}
+}
+
+func TestBoundedRefusesAnUnknownLevel(t *testing.T) {
+	if _, _, _, err := logs.NewBounded("loud", io.Discard); err == nil || !strings.Contains(err.Error(), "loud") {
+		t.Errorf("got %v", err)
+	}
+}
--- a/internal/pass/course.go
+++ b/internal/pass/course.go
@@ -44,6 +44,7 @@
 	base     time.Duration
 	uncached ident.Tokens
 	running  bool
+	sound    bool // it answered well, so that its endpoint may be asked again
 	patience time.Time // when its silence is long enough to try elsewhere, zero for never
 }
 
@@ -92,7 +93,9 @@
 	c.pending = true
 	exclude := make([]ident.EndpointID, 0, len(c.attempts))
 	for i := range c.attempts {
-		exclude = append(exclude, c.attempts[i].endpoint.ID)
+		if !c.attempts[i].sound {
+			exclude = append(exclude, c.attempts[i].endpoint.ID)
+		}
 	}
 	return []Action{Place{Attempt: Attempt(len(c.attempts)), Model: c.model(), Exclude: exclude}}
 }
@@ -437,6 +440,7 @@
 func (c *Course) finish(n Attempt, outcome route.Outcome, failed bool) []Action {
 	a := &c.attempts[n]
 	a.running = false
+	a.sound = outcome == route.OutcomeDone
 	return []Action{Report{
 		Attempt: n, Endpoint: a.endpoint, Model: a.model, Outcome: outcome, Failed: failed,
 		First: a.first, Base: a.base, Uncached: a.uncached,
--- a/internal/pass/course_test.go
+++ b/internal/pass/course_test.go
@@ -220,6 +220,14 @@
 			Expect(t.sent[1].Model).To(Equal(ident.ModelID("large")))
 		})
 
+		It("may ask the larger model at the same endpoint, but not one that failed", func() {
+			t := begin(stream, ladder, 10)
+			out := t.step(10, pass.Headed{Attempt: 0, Head: unsure})
+			Expect(only[pass.Place](out)[0].Exclude).To(BeEmpty())
+			out = t.step(20, pass.Broken{Attempt: 1, Sent: true})
+			Expect(only[pass.Place](out)[0].Exclude).To(Equal([]ident.EndpointID{"e1"}))
+		})
+
 		It("passes on a sure answer, and an unsure one if the budget is used up", func() {
 			t := begin(stream, ladder, 10)
 			Expect(only[pass.Open](t.step(10, pass.Headed{Attempt: 0, Head: pass.Head{Status: 200, Signed: true, Confidence: 90}}))).To(HaveLen(1))
