Try a version at a usual load on few endpoints, and judge its times by the work

A slow version was moved to: its few answers were compared with times that long prompts dominate, and a doubt was dropped after a while. One that fails under load only was never loaded. Times now count in proportion to the work foreseen, a doubt keeps the load away, nothing moves that cannot end in time, and a trial uses a ninth of the version's endpoints.

--- a/internal/pass/action.go
+++ b/internal/pass/action.go
@@ -66,6 +66,7 @@
 	Took     time.Duration // from its start to now
 	First    time.Duration // to the answer or first event, 0 if none came
 	Base     time.Duration // that was expected, without correction by experience
+	Work     time.Duration // of Base, the endpoint's own work on the request
 	Uncached ident.Tokens  // read for it, as far as was foreseen
 }
 
--- a/internal/pass/course.go
+++ b/internal/pass/course.go
@@ -42,9 +42,10 @@
 	first    time.Duration
 	expected time.Duration
 	base     time.Duration
+	work     time.Duration
 	uncached ident.Tokens
 	running  bool
-	sound    bool // it answered well, so that its endpoint may be asked again
+	sound    bool      // it answered well, so that its endpoint may be asked again
 	patience time.Time // when its silence is long enough to try elsewhere, zero for never
 }
 
@@ -112,7 +113,7 @@
 	c.pending = false
 	a := attempt{
 		endpoint: p.Endpoint, model: c.model(), started: now,
-		expected: p.Expected, base: p.Base, uncached: p.Uncached, running: true,
+		expected: p.Expected, base: p.Base, work: p.Work, uncached: p.Uncached, running: true,
 	}
 	actions := []Action{Dispatch{Attempt: p.Attempt, Endpoint: p.Endpoint, Model: a.model, After: c.last}}
 	if at, ok := patience(now, c.request, p.Expected); ok && c.more() {
@@ -443,7 +444,7 @@
 	a.sound = outcome == route.OutcomeDone
 	return []Action{Report{
 		Attempt: n, Endpoint: a.endpoint, Model: a.model, Outcome: outcome, Failed: failed,
-		First: a.first, Base: a.base, Uncached: a.uncached,
+		First: a.first, Base: a.base, Work: a.work, Uncached: a.uncached,
 	}}
 }
 
--- a/internal/pass/event.go
+++ b/internal/pass/event.go
@@ -20,6 +20,7 @@
 	Endpoint *world.Endpoint
 	Expected time.Duration // to the answer or first event
 	Base     time.Duration // the same without correction by experience
+	Work     time.Duration // of Base, the endpoint's own work on the request
 	Uncached ident.Tokens  // of the prompt, expected
 }
 
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -157,7 +157,7 @@
 	if n := len(c.request.Parts); n > 1 {
 		c.server.prefixes.Sent(e.ID, route.Chain(errand.Model, c.request.Parts[:n-1]))
 	}
-	c.step(pass.Placed{Attempt: p.Attempt, Endpoint: e, Expected: pick.Expected, Base: pick.Base, Uncached: pick.Uncached})
+	c.step(pass.Placed{Attempt: p.Attempt, Endpoint: e, Expected: pick.Expected, Base: pick.Base, Work: pick.Work, Uncached: pick.Uncached})
 }
 
 func (c *call) errand(now time.Time, model ident.ModelID, exclude []ident.EndpointID) route.Errand {
@@ -215,11 +215,13 @@
 	version := c.server.control.Version(now, view, c.request.Service, c.request.Seed, c.session())
 	var sites, cold []route.Site
 	var warmly, coldly []*world.Endpoint
-	for _, e := range view.Endpoints(c.request.Service) {
-		if version != "" && e.Version != version || !c.home(e.Zone) {
+	for _, e := range view.Candidates(now, c.request.Service, version) {
+		if !c.home(e.Zone) {
 			continue
 		}
-		site := route.Site{Endpoint: e.ID, Zone: e.Zone, Slots: e.Slots, Cold: e.Cold(now)}
+		site := route.Site{
+			Endpoint: e.ID, Zone: e.Zone, Slots: e.Slots, Cold: e.Cold(now), New: view.OnTrial(e.Service, e.Version),
+		}
 		if site.Cold && c.coldRate(view) > 0 {
 			cold, coldly = append(cold, site), append(coldly, e)
 			continue
@@ -325,7 +327,9 @@
 	s.loads.End(now, r.Endpoint.ID, r.Outcome)
 	if r.First > 0 {
 		s.loads.First(now, r.Endpoint.ID, r.Base, r.First)
-		s.tempo.Measure(c.modelOr(r.Model), r.Uncached, r.First)
+		if !s.control.View().OnTrial(r.Endpoint.Service, r.Endpoint.Version) {
+			s.tempo.Measure(c.modelOr(r.Model), r.Uncached, r.First)
+		}
 	}
 	if r.Outcome == route.OutcomeDone || r.Outcome == route.OutcomeFailed {
 		s.tempo.Outcome(now, r.Endpoint.ID, r.Failed || r.Silent)
--- a/internal/route/parts.go
+++ b/internal/route/parts.go
@@ -35,6 +35,7 @@
 	Zone     ident.ZoneID
 	Slots    int
 	Cold     bool
+	New      bool // it has read nothing yet but what this router has sent it
 }
 
 // Errand is what the choice of a site depends on.
@@ -153,7 +154,7 @@
 	for i := range prefixes.Cached(s.Endpoint, shared) {
 		known += e.Parts[i].Tokens
 	}
-	if !home {
+	if !home || s.New {
 		return known
 	}
 	all := ident.Tokens(0)
--- a/internal/steer/trial.go
+++ b/internal/steer/trial.go
@@ -29,7 +29,7 @@
 }
 
 // limits say what makes a version bad compared with the one it replaces.
-var limits = fleet.RolloutLimits{Errors: 0.04, Quality: 1, Latency: 2.5}
+var limits = fleet.RolloutLimits{Errors: 0.04, Quality: 1, Latency: 2}
 
 func newTrials(s Settings, now time.Time) *trials {
 	return &trials{
@@ -121,13 +121,25 @@
 	if !ok {
 		return
 	}
-	outcome := roll.Outcome{Failed: report.Failed, First: max(report.First, report.Took)}
+	outcome := roll.Outcome{Failed: report.Failed, First: scaled(max(report.First, report.Took), report.Work)}
 	release := ident.Release{Model: modelOf(r), Version: e.Version}
 	t.lock.Lock()
 	defer t.lock.Unlock()
 	t.trials.evidence.Record(now, t.trials.self, view, ident.TeamID(id), release, outcome)
 }
 
+// scaled puts the time to a first event in proportion to the work foreseen of a
+// request of its size, so that long prompts do not hide a slow version.
+func scaled(first, work time.Duration) time.Duration {
+	if first <= 0 || work <= 0 {
+		return first
+	}
+	return max(1, time.Duration(float64(first)/float64(work)*float64(scaleUnit)))
+}
+
+// scaleUnit stands for a first event that comes as foreseen.
+const scaleUnit = 100 * time.Millisecond
+
 // trialConfig puts a roll-out of a service into the terms of package roll: the
 // service is the model, and its routes are the teams that may suffer alone.
 func trialConfig(v *world.View, r world.Rollout) (*fleet.Config, fleet.RolloutState) {
--- a/internal/world/next.go
+++ b/internal/world/next.go
@@ -18,9 +18,10 @@
 	// clearStrength is the evidence against a version, as a part of what would
 	// withdraw it, up to which the load moves at the end of the trial.
 	clearStrength = 0.2
-	// doubtPart is the part of the duration for which a weaker suspicion
-	// prolongs the trial.
-	doubtPart = 0.66
+	// doubtPart is the part of the duration for which a suspicion up to
+	// doubtStrength prolongs the trial; a stronger one keeps the load away.
+	doubtPart     = 0.66
+	doubtStrength = 0.35
 	// movePart is the part of the duration that the move takes.
 	movePart = 0.26
 	// probeShare goes to the target in the first probeTime of the move, to show
@@ -85,7 +86,10 @@
 		}
 	case StageTrial:
 		finish, enough := evidence.(roll.Finish)
-		if enough && age >= part(trialPart) && (finish.Strength <= clearStrength || age >= part(doubtPart)) {
+		if age+r.moveTime() > r.Duration && age < r.Duration {
+			return r.Stage, "" // too late to end in time, so that more evidence is worth more
+		}
+		if enough && age >= part(trialPart) && (finish.Strength <= clearStrength || age >= part(doubtPart) && finish.Strength <= doubtStrength) {
 			return StageMoving, "no evidence against it"
 		}
 	case StageMoving:
--- a/internal/world/view.go
+++ b/internal/world/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"time"
 
 	"github.com/marigoldscale/marigoldscale/internal/paths"
 	"github.com/marigoldscale/marigoldscale/pkg/ident"
@@ -22,6 +23,43 @@
 // Endpoints gives a service's endpoints that may get new work, sorted by id.
 func (v *View) Endpoints(service ident.ServiceID) []*Endpoint { return v.endpoints[service] }
 
+// OnTrial tells whether a version is the target of a roll-out that is not
+// finished.
+func (v *View) OnTrial(service ident.ServiceID, version ident.VersionID) bool {
+	r, ok := v.Rollouts[service]
+	return ok && r.Open() && r.Target == version
+}
+
+// Candidates gives the endpoints of a version, "" for any, that may get a
+// request. A version on trial uses as few of its endpoints as its share of the
+// load would fill: how it bears a usual load shows before all depend on it.
+func (v *View) Candidates(now time.Time, service ident.ServiceID, version ident.VersionID) []*Endpoint {
+	var list []*Endpoint
+	for _, e := range v.endpoints[service] {
+		if version == "" || e.Version == version {
+			list = append(list, e)
+		}
+	}
+	r, ok := v.Rollouts[service]
+	if !ok || r.Stage != StageTrial || version != r.Target {
+		return list
+	}
+	var warm []*Endpoint
+	for _, e := range list {
+		if !e.Cold(now) {
+			warm = append(warm, e)
+		}
+	}
+	if few := max(1, len(list)/trialEndpoints); len(warm) > few {
+		return warm[:few]
+	}
+	return list
+}
+
+// trialEndpoints is the number of a version's endpoints of which one is used
+// on trial.
+const trialEndpoints = 9
+
 // Endpoint finds an endpoint that may get new work.
 func (v *View) Endpoint(id ident.EndpointID) (*Endpoint, bool) {
 	e, ok := v.byID[id]
--- a/internal/world/world_test.go
+++ b/internal/world/world_test.go
@@ -1,6 +1,7 @@
 package world_test
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -157,10 +158,26 @@
 			Expect(next(at(11), roll.Hold{Seen: 3})).To(Equal(world.StageTrial))
 			Expect(next(at(19), roll.Hold{Seen: 3})).To(Equal(world.StageTrial))
 			Expect(next(at(11), roll.Finish{Strength: 0.4})).To(Equal(world.StageTrial))
-			Expect(next(at(14), roll.Finish{Strength: 0.4})).To(Equal(world.StageMoving))
+			Expect(next(at(14), roll.Finish{Strength: 0.3})).To(Equal(world.StageMoving))
+			Expect(next(at(19), roll.Finish{Strength: 0.4})).To(Equal(world.StageTrial))
+			Expect(next(at(19), enough)).To(Equal(world.StageTrial))
+			Expect(next(at(20), enough)).To(Equal(world.StageMoving))
 			Expect(next(at(11), enough)).To(Equal(world.StageMoving))
 		})
 
+		It("uses so few endpoints on trial that each bears a usual load", func() {
+			list := []world.Announcement{}
+			for i := range 9 {
+				list = append(list, endpoint(ident.EndpointID(fmt.Sprint("a", i)), "v1"), endpoint(ident.EndpointID(fmt.Sprint("b", i)), "v2"))
+			}
+			w := ready(list...)
+			order(w, at(1), world.StageTrial, 1)
+			Expect(w.View().Candidates(at(2), "s", "v2")).To(HaveLen(1))
+			Expect(w.View().Candidates(at(2), "s", "v1")).To(HaveLen(9))
+			order(w, at(3), world.StageMoving, 2)
+			Expect(w.View().Candidates(at(4), "s", "v2")).To(HaveLen(9))
+		})
+
 		It("steps back at once, at any stage and whoever's turn it is", func() {
 			for _, stage := range []world.Stage{world.StageTrial, world.StageMoving} {
 				r := rollout(stage, start)
