Give a request that a version on trial cannot answer to the one it replaces

With one endpoint on trial a request that failed there had no other endpoint to go to (502, no endpoint), and one that would be late there was refused although the old version was free.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -137,12 +137,19 @@
 	}
 }
 
-// place chooses the endpoint of an attempt.
+// place chooses the endpoint of an attempt. A version on trial that cannot
+// answer, or has just failed the request, gives way to the one it replaces.
 func (c *call) place(p pass.Place) {
 	now := c.server.clock()
-	sites, endpoints := c.sites(now)
+	view := c.server.control.View()
+	version := c.server.control.Version(now, view, c.request.Service, c.request.Seed, c.session())
 	errand := c.errand(now, p.Model, p.Exclude)
+	sites, endpoints := c.sites(now, view, version)
 	pick := c.server.tempo.Choose(now, sites, errand, c.server.loads, c.server.prefixes)
+	if pick.Site < 0 && view.OnTrial(c.request.Service, version) {
+		sites, endpoints = c.sites(now, view, view.Stable(c.request.Service))
+		pick = c.server.tempo.Choose(now, sites, errand, c.server.loads, c.server.prefixes)
+	}
 	if pick.Site < 0 {
 		c.step(pass.Unplaced{Attempt: p.Attempt, After: pick.After, Late: pick.Late})
 		return
@@ -180,7 +187,9 @@
 		return e
 	}
 	now := c.server.clock()
-	sites, _ := c.sites(now)
+	view := c.server.control.View()
+	version := c.server.control.Version(now, view, c.request.Service, c.request.Seed, c.session())
+	sites, _ := c.sites(now, view, version)
 	pick := c.server.tempo.Choose(now, sites, c.errand(now, next, nil), c.server.loads, c.server.prefixes)
 	if pick.Site < 0 {
 		h.Next = c.request.Limit.Sub(now) // nobody can answer in time
@@ -208,11 +217,9 @@
 	return ident.SessionKey{Team: c.request.Team, Session: c.request.Session}
 }
 
-// sites lists the endpoints that may get the request: those of the version
-// chosen for it, in an allowed region, and cold ones only if there is no other.
-func (c *call) sites(now time.Time) ([]route.Site, []*world.Endpoint) {
-	view := c.server.control.View()
-	version := c.server.control.Version(now, view, c.request.Service, c.request.Seed, c.session())
+// sites lists the endpoints of a version that may get the request: those in an
+// allowed region, and cold ones only if there is no other.
+func (c *call) sites(now time.Time, view *world.View, version ident.VersionID) ([]route.Site, []*world.Endpoint) {
 	var sites, cold []route.Site
 	var warmly, coldly []*world.Endpoint
 	for _, e := range view.Candidates(now, c.request.Service, version) {
--- a/internal/relay/peer_test.go
+++ b/internal/relay/peer_test.go
@@ -134,15 +134,16 @@
 
 // fixture is a router in front of scripted endpoints.
 type fixture struct {
-	view   *world.View
-	server *httptest.Server
-	relay  *relay.Server
+	world   *world.World
+	version ident.VersionID // that requests are drawn to
+	server  *httptest.Server
+	relay   *relay.Server
 }
 
-func (f *fixture) View() *world.View { return f.view }
+func (f *fixture) View() *world.View { return f.world.View() }
 
 func (f *fixture) Version(time.Time, *world.View, ident.ServiceID, uint64, ident.SessionKey) ident.VersionID {
-	return ""
+	return f.version
 }
 
 func (f *fixture) Observe(time.Time, paths.RouteID, ident.SessionKey, pass.Report) {}
@@ -167,7 +168,7 @@
 		}})
 	}
 	w.Step(now, list)
-	f := &fixture{view: w.View()}
+	f := &fixture{world: w}
 	var err error
 	f.relay, err = relay.New(relay.Settings{Router: "r1", Zone: "z", Retries: relay.RetryLimits{Share: 1, Extra: 100}}, dialect{}, f, zap.NewNop(), metric.New(), time.Now)
 	Expect(err).NotTo(HaveOccurred())
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/marigoldscale/marigoldscale/internal/paths"
+	"github.com/marigoldscale/marigoldscale/internal/world"
 )
 
 func write(conn net.Conn, text string) { _, _ = io.WriteString(conn, text) }
@@ -81,6 +82,21 @@
 		}
 	})
 
+	It("gives a request that failed on a version on trial to the one it replaces", func() {
+		bad := newPeer(func(conn net.Conn, _ *http.Request, _ int) {
+			write(conn, "HTTP/1.1 500 Oops\r\nProof: p\r\nContent-Length: 0\r\n\r\n")
+		})
+		up := newPeer(func(conn net.Conn, r *http.Request, _ int) { write(conn, answer(r.Header.Get("Id"), "yes")) })
+		f := newFixture(safe, up)
+		f.version = "v2"
+		f.world.Step(time.Now(), world.Ordered{Present: []world.Rollout{{Service: "s", Target: "v2", Stage: world.StageTrial, Revision: 1}}})
+		f.world.Step(time.Now(), world.Endpoints{Present: []world.Announcement{{Endpoint: world.Endpoint{
+			ID: "new", Service: "s", Address: bad.listener.Addr().String(), Zone: "z", Version: "v2", Slots: 4,
+		}}}})
+		Expect(f.call("GET", "a", "").body).To(Equal("yes"))
+		Expect(bad.count()).To(Equal(1))
+	})
+
 	It("skips a late answer to another request on the same connection", func() {
 		p := newPeer(func(conn net.Conn, r *http.Request, n int) {
 			if n == 2 {
