--- /dev/null
+++ b/internal/entry/page_test.go
@@ -0,0 +1,40 @@
+package entry_test
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// TestPage keeps the page for engineers on call complete: every line and metric
+// of this path is on it.
+func TestPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	line := regexp.MustCompile(`(?:log|c|s)\.(?:log|warn|Info|Warn)\("([a-z ,]+)"`)
+	metric := regexp.MustCompile(`metrics\.(?:Count|Gauge|Observe)\("([a-z_]+)"`)
+	for _, dir := range []string{".", "../relay", "../steer", "../daemon"} {
+		files, err := filepath.Glob(filepath.Join(dir, "*.go"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, file := range files {
+			if strings.HasSuffix(file, "_test.go") {
+				continue
+			}
+			text, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, found := range append(line.FindAllStringSubmatch(string(text), -1), metric.FindAllStringSubmatch(string(text), -1)...) {
+				if !strings.Contains(string(page), "`"+found[1]+"`") {
+					t.Errorf("%s: %q is not in docs/OPERATIONS.md", file, found[1])
+				}
+			}
+		}
+	}
+}
--- a/internal/pass/action.go
+++ b/internal/pass/action.go
@@ -9,7 +9,7 @@
 )
 
 // Action is what the relay is to do: Place, Dispatch, Open, Emit, Close,
-// Reply, Refuse, Abort, Cancel, Wake or Report.
+// Reply, Refuse, Abort, Cancel, Escalate, Wake or Report.
 type Action interface{ action() }
 
 // Place asks for an endpoint; Placed or Unplaced answers it.
@@ -52,6 +52,12 @@
 // Cancel closes an attempt's connection.
 type Cancel struct{ Attempt Attempt }
 
+// Escalate tells that a larger model is asked in place of an answer.
+type Escalate struct {
+	Attempt Attempt // whose answer is dropped
+	Doubt   Doubt   // that decided it
+}
+
 // Wake asks for Woken at a time.
 type Wake struct{ At time.Time }
 
@@ -79,6 +85,7 @@
 func (Refuse) action()   {}
 func (Abort) action()    {}
 func (Cancel) action()   {}
+func (Escalate) action() {}
 func (Wake) action()     {}
 func (Report) action()   {}
 
--- a/internal/pass/course.go
+++ b/internal/pass/course.go
@@ -153,7 +153,8 @@
 	a.first = now.Sub(a.started)
 	c.ran = true
 	actions := c.others(h.Attempt)
-	if c.escalates(now, h) {
+	if d, asks := c.escalates(now, h); asks {
+		actions = append(actions, Escalate{Attempt: h.Attempt, Doubt: d})
 		actions = append(actions, c.drop(h.Attempt, route.OutcomeDone, false)...)
 		c.rung++
 		return append(actions, c.place()...)
@@ -183,15 +184,15 @@
 
 // escalates tells whether the answer whose head has come is to be dropped for
 // a larger model's.
-func (c *Course) escalates(now time.Time, h Headed) bool {
+func (c *Course) escalates(now time.Time, h Headed) (Doubt, bool) {
 	if c.Next() == "" {
-		return false
+		return Doubt{}, false
 	}
 	d := Doubt{
 		Confidence: h.Head.Confidence, Elapsed: now.Sub(c.request.Arrived), Next: h.Next, Work: h.Work,
 		Objective: c.request.Route.Objective, Left: c.request.Limit.Sub(now),
 	}
-	return d.Asks() && c.budget.Take(now)
+	return d, d.Asks() && c.budget.Take(now)
 }
 
 func (c *Course) piece(p Piece) []Action {
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -129,6 +129,9 @@
 			c.warn("broken off", zap.String("reason", string(x.Reason)), zap.Int("events", c.sent))
 		case pass.Cancel:
 			c.exchanges[x.Attempt].cancel()
+		case pass.Escalate:
+			c.log("larger model asked", zap.Int("attempt", int(x.Attempt)), zap.Int("confidence", x.Doubt.Confidence),
+				zap.Duration("next", x.Doubt.Next), zap.Duration("work", x.Doubt.Work))
 		case pass.Wake:
 			c.wake(x.At)
 		case pass.Report:
@@ -331,6 +334,10 @@
 	now := c.server.clock()
 	c.settled(r.Attempt)
 	s := c.server
+	if r.Silent {
+		c.warn("attempt given up", zap.Int("attempt", int(r.Attempt)), zap.String("endpoint", string(r.Endpoint.ID)),
+			zap.Duration("silent", r.Took), zap.Duration("expected", r.Base))
+	}
 	s.loads.End(now, r.Endpoint.ID, r.Outcome)
 	if r.First > 0 {
 		s.loads.First(now, r.Endpoint.ID, r.Base, r.First)
@@ -426,7 +433,7 @@
 	}
 	took := c.server.clock().Sub(c.arrived)
 	c.server.metrics.Count("relay_lines_total", 1, metric.Label{Name: "event", Value: what}, metric.Label{Name: "route", Value: name})
-	if what != "placed" {
+	if what == "opened" || what == "answered" || what == "refused" || what == "broken off" {
 		c.server.metrics.Observe("relay_request", took, metric.Label{Name: "event", Value: what})
 	}
 	all := []zap.Field{
