--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -136,7 +136,7 @@
 		return fmt.Errorf("serving: %w", err)
 	case <-ctx.Done():
 	}
-	e.stop(callers, s.Times.Grace)
+	e.stop(callers, e.settings.Load().Times.Grace)
 	_ = ready.Close() // nothing is in progress there
 	_ = admin.Close() // as above
 	return nil
@@ -213,7 +213,8 @@
 	}
 }
 
-// Reload takes in changed settings. What listens stays as it is.
+// Reload takes in changed settings. The grace period counts from then on, the
+// rest at the next start.
 func (e *Entry) Reload(s setup.Relay) {
 	old := e.settings.Swap(&s)
 	e.log.Info("settings read again", zap.Bool("changed", !sameSettings(*old, s)))
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -11,7 +11,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -53,14 +52,13 @@
 
 // Links keeps the connections to endpoints. It never sends anything twice.
 type Links struct {
-	lock    sync.Mutex
-	idle    map[lifeKey][]*link
-	dialer  net.Dialer
-	dials   metrics.Counter
-	reuses  metrics.Counter
-	strays  metrics.Counter
-	clock   func() time.Time
-	waiting atomic.Int64
+	lock   sync.Mutex
+	idle   map[lifeKey][]*link
+	dialer net.Dialer
+	dials  metrics.Counter
+	reuses metrics.Counter
+	strays metrics.Counter
+	clock  func() time.Time
 }
 
 // lifeKey names one life of an endpoint at an address.
--- a/internal/steer/trial.go
+++ b/internal/steer/trial.go
@@ -25,7 +25,6 @@
 	evidence *roll.Evidence
 	writing  map[ident.ServiceID]time.Time // no other write before
 	logged   map[ident.ServiceID]time.Time // when its evidence was last logged
-	exposure ident.Share
 }
 
 // limits say what makes a version bad compared with the one it replaces.
@@ -37,7 +36,6 @@
 		evidence: roll.New(xxhash.Sum64String(string(s.Router))),
 		writing:  map[ident.ServiceID]time.Time{},
 		logged:   map[ident.ServiceID]time.Time{},
-		exposure: s.Exposure,
 	}
 }
 
