Judge a version on trial by all answers of the fleet, route by route

Cause: a roll-out of seconds gives the version on trial some twenty answers. They were compared one by one with a few answers of the old version that the same router had just seen; half of them were answers to probes; a route that always fails one in seven hid a version that fails two in five, and a slow version of a plain service was moved to although five of its answers were known to be slow.

Now both versions' answers are counted by route and slice of four seconds and shared by all routers, and the chance that a sound version looks as bad is computed. Answers that end with a crashed endpoint do not count. The allowance beyond the exposure is used at the beginning of a trial.

--- a/internal/pass/action.go
+++ b/internal/pass/action.go
@@ -68,6 +68,7 @@
 	Model    ident.ModelID
 	Outcome  route.Outcome
 	Failed   bool          // the endpoint failed a request that it ran
+	Cut      bool          // the connection broke before a whole answer had come
 	Silent   bool          // it was given up since no answer had come
 	Took     time.Duration // from its start to now
 	First    time.Duration // to the answer or first event, 0 if none came
--- a/internal/pass/answer.go
+++ b/internal/pass/answer.go
@@ -91,6 +91,9 @@
 	}
 	actions := c.finish(b.Attempt, outcome, b.Sent)
 	if b.Sent {
+		report := actions[0].(Report)
+		report.Cut = true
+		actions[0] = report
 		c.ran = true
 	} else {
 		c.reached--
--- a/internal/setup/relay.go
+++ b/internal/setup/relay.go
@@ -25,6 +25,7 @@
 	Retries  Retries
 	Times    RelayTimes
 	Exposure ident.Share // of a service's requests that a version on trial may get
+	Slack    int         // requests beyond Exposure that it may get, from all routers
 }
 
 // Place names a zone and the region that it lies in.
@@ -107,6 +108,7 @@
 			input.Text("region", input.AcceptedName, "", input.IsName, func(p *Place) *ident.RegionID { return &p.Region }).Require(),
 		}, func(s *Relay) *[]Place { return &s.Zones }),
 		input.Float("exposure", "of a service's requests", 0, 1, preset.Exposure, func(s *Relay) *ident.Share { return &s.Exposure }),
+		input.Int("slack", "requests", 0, 1000000, preset.Slack, func(s *Relay) *int { return &s.Slack }),
 	}
 	return []SectionOf[Relay]{
 		{Fields: top},
--- a/internal/steer/share.go
+++ b/internal/steer/share.go
@@ -13,16 +13,15 @@
 // evidenceMark is the point up to which evidence was passed on.
 type evidenceMark = roll.Mark
 
-// shared is one cell of evidence as it is passed between routers.
+// shared is one tally as it is passed between routers.
 type shared struct {
 	Router      ident.RouterID  `json:"router"`
 	Incarnation uint64          `json:"incarnation"`
-	Model       ident.ModelID   `json:"model"`
+	Order       string          `json:"order"`
 	Version     ident.VersionID `json:"version"`
-	Route       ident.TeamID    `json:"route,omitempty"`
-	Step        int             `json:"step"`
-	Window      int             `json:"window"`
-	Counts      [][2]uint64     `json:"counts"` // counter and value
+	Route       roll.Group      `json:"route"`
+	Slice       int             `json:"slice"`
+	Counts      [4]uint64       `json:"counts"` // answers, failed, timed, slow
 }
 
 // evidence gives the evidence of all routers that changed after the mark.
@@ -45,7 +44,7 @@
 
 // merge takes in evidence from other routers.
 func (t *Steer) merge(list []json.RawMessage) {
-	var entries []roll.Entry
+	var entries []roll.BriefEntry
 	for _, raw := range list {
 		e, err := unpack(raw)
 		if err != nil {
@@ -64,35 +63,26 @@
 	t.lock.Unlock()
 }
 
-func pack(e roll.Entry) shared {
-	s := shared{
+func pack(e roll.BriefEntry) shared {
+	return shared{
 		Router: e.Source.Router, Incarnation: e.Source.Incarnation,
-		Model: e.Key.Release.Model, Version: e.Key.Release.Version, Route: e.Key.Team,
-		Step: e.Key.Stratum.Step, Window: e.Key.Stratum.Window,
+		Order: e.Key.Order, Version: e.Key.Version, Route: e.Key.Group, Slice: e.Key.Slice,
+		Counts: [4]uint64{e.Tally.Answers, e.Tally.Failed, e.Tally.Timed, e.Tally.Slow},
 	}
-	for _, c := range e.Counts {
-		s.Counts = append(s.Counts, [2]uint64{uint64(c.Counter), c.Value})
-	}
-	return s
 }
 
-func unpack(raw json.RawMessage) (roll.Entry, error) {
+func unpack(raw json.RawMessage) (roll.BriefEntry, error) {
 	var s shared
 	if err := json.Unmarshal(raw, &s); err != nil {
-		return roll.Entry{}, fmt.Errorf("reading evidence: %w", err)
+		return roll.BriefEntry{}, fmt.Errorf("reading evidence: %w", err)
 	}
-	e := roll.Entry{
-		Key: roll.Key{
-			Release: ident.Release{Model: s.Model, Version: s.Version}, Team: s.Route,
-			Stratum: roll.Stratum{Step: s.Step, Window: s.Window},
-		},
-		Source: roll.Source{Router: s.Router, Incarnation: s.Incarnation},
+	c := s.Counts
+	if c[1] > c[0] || c[3] > c[2] {
+		return roll.BriefEntry{}, fmt.Errorf("evidence of router %q has more bad answers than answers: %v", s.Router, c)
 	}
-	for _, c := range s.Counts {
-		if c[0] >= roll.CounterCount {
-			return roll.Entry{}, fmt.Errorf("evidence of router %q counts what is not known: %d", s.Router, c[0])
-		}
-		e.Counts = append(e.Counts, roll.Count{Counter: roll.Counter(c[0]), Value: c[1]})
-	}
-	return e, nil
+	return roll.BriefEntry{
+		Key:    roll.BriefKey{Order: s.Order, Version: s.Version, Group: s.Route, Slice: s.Slice},
+		Source: roll.Source{Router: s.Router, Incarnation: s.Incarnation},
+		Tally:  roll.Tally{Answers: c[0], Failed: c[1], Timed: c[2], Slow: c[3]},
+	}, nil
 }
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -65,6 +65,7 @@
 	Configs   Pace
 	Orders    Pace          // of roll-outs and zones
 	Exposure  ident.Share   // of a service's requests that a version on trial may get
+	Slack     int           // requests beyond Exposure that it may get, from all routers
 	Session   time.Duration // after its last answer, for which a session is in use
 }
 
--- a/internal/steer/trial.go
+++ b/internal/steer/trial.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
-	"github.com/marigoldscale/marigoldscale/internal/fleet"
 	"github.com/marigoldscale/marigoldscale/internal/pass"
 	"github.com/marigoldscale/marigoldscale/internal/paths"
 	"github.com/marigoldscale/marigoldscale/internal/plat"
@@ -22,18 +20,35 @@
 // trials collects the evidence on versions that are rolled out.
 type trials struct {
 	self     roll.Source
-	evidence *roll.Evidence
+	evidence *roll.Brief
+	usual    *roll.Usual
+	cuts     *roll.Cuts
+	quotas   map[orderID]*world.Quota
+	held     map[roll.BriefKey]roll.Tally  // of old versions, not yet in the evidence
+	flushed  time.Time                     // when held was last emptied
 	writing  map[ident.ServiceID]time.Time // no other write before
 	logged   map[ident.ServiceID]time.Time // when its evidence was last logged
 }
 
-// limits say what makes a version bad compared with the one it replaces.
-var limits = fleet.RolloutLimits{Errors: 0.04, Quality: 1, Latency: 2}
+// orderID names one roll-out, apart from earlier ones of the same service.
+type orderID string
+
+const (
+	// sliceTime is the length of the slices in which evidence is counted.
+	sliceTime = 4 * time.Second
+	// holdTime is the pause between the times at which an old version's answers
+	// are passed on: they are many, and each of them says little.
+	holdTime = 1200 * time.Millisecond
+)
 
 func newTrials(s Settings, now time.Time) *trials {
 	return &trials{
 		self:     roll.Source{Router: s.Router, Incarnation: uint64(now.UnixNano())},
-		evidence: roll.New(xxhash.Sum64String(string(s.Router))),
+		evidence: roll.NewBrief(),
+		usual:    roll.NewUsual(),
+		cuts:     roll.NewCuts(),
+		quotas:   map[orderID]*world.Quota{},
+		held:     map[roll.BriefKey]roll.Tally{},
 		writing:  map[ident.ServiceID]time.Time{},
 		logged:   map[ident.ServiceID]time.Time{},
 	}
@@ -71,7 +86,7 @@
 // drawn tells whether a request goes to a roll-out's target.
 func (t *Steer) drawn(now time.Time, r world.Rollout, key uint64, session ident.SessionKey) bool {
 	if session.Session == "" {
-		return below(key, r.Share(now, t.settings.Exposure))
+		return below(key, t.share(now, r))
 	}
 	if r.Stage == world.StageMoving {
 		return true
@@ -94,77 +109,115 @@
 	return false
 }
 
+// share gives the part of the requests without a session that goes to a
+// roll-out's target.
+func (t *Steer) share(now time.Time, r world.Rollout) ident.Share {
+	if r.Stage != world.StageTrial {
+		return r.Share(now, t.settings.Exposure)
+	}
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	return t.quota(r).Share(t.settings.Exposure, t.settings.Slack, t.Routers())
+}
+
+// quota gives what this router has sent to a roll-out's target.
+func (t *Steer) quota(r world.Rollout) *world.Quota {
+	id := orderOf(r)
+	q := t.trials.quotas[id]
+	if q == nil {
+		q = &world.Quota{}
+		t.trials.quotas[id] = q
+	}
+	return q
+}
+
 // Observe takes in how an attempt fared.
 func (t *Steer) Observe(now time.Time, id paths.RouteID, session ident.SessionKey, report pass.Report) {
+	e := report.Endpoint
 	if session.Session != "" {
-		t.pins.put(now, session, report.Endpoint.Service)
+		t.pins.put(now, session, e.Service)
 	}
-	if report.Outcome != route.OutcomeDone && report.Outcome != route.OutcomeFailed {
+	if report.Outcome != route.OutcomeDone && report.Outcome != route.OutcomeFailed || e.Cold(now) {
 		return
 	}
-	e := report.Endpoint
 	v := t.View()
 	r, ok := v.Rollouts[e.Service]
-	if !ok || !r.Open() {
-		return
-	}
-	if session.Session != "" && e.Version != r.Target {
+	open := ok && r.Open()
+	if open && session.Session != "" && e.Version != r.Target {
 		t.hold(r, session, now)
 	}
-	if e.Cold(now) {
-		return
+	kind := string(id) + "/" + string(report.Model)
+	tally := roll.Tally{Answers: 1}
+	if report.Failed {
+		tally.Failed = 1
+	}
+	ratio := inProportion(max(report.First, report.Took), report.Work)
+	if slow, known := t.trials.usual.Slow(kind, ratio); known && ratio > 0 {
+		tally.Timed = 1
+		if slow {
+			tally.Slow = 1
+		}
+	}
+	old := !open || e.Version != r.Target
+	if old && ratio > 0 {
+		t.trials.usual.Add(kind, ratio)
 	}
-	config, state := trialConfig(v, r)
-	view, ok := roll.Look(now, config, state)
-	if !ok {
+	if !open {
 		return
 	}
-	outcome := roll.Outcome{Failed: report.Failed, First: scaled(max(report.First, report.Took), report.Work)}
-	release := ident.Release{Model: modelOf(r), Version: e.Version}
+	key := roll.BriefKey{Order: string(orderOf(r)), Version: e.Version, Group: roll.Group(id), Slice: slice(now, r)}
 	t.lock.Lock()
 	defer t.lock.Unlock()
-	t.trials.evidence.Record(now, t.trials.self, view, ident.TeamID(id), release, outcome)
+	t.quota(r).Add(!old)
+	life := roll.Life{Endpoint: e.ID, Born: e.Born}
+	if report.Cut {
+		t.trials.cuts.Cut(now, life, key, tally)
+		return
+	}
+	for k, c := range t.trials.cuts.Answered(now, life) {
+		t.trials.count(now, k, c, k.Version != r.Target)
+	}
+	t.trials.count(now, key, tally, old)
 }
 
-// scaled puts the time to a first event in proportion to the work foreseen of a
-// request of its size, so that long prompts do not hide a slow version.
-func scaled(first, work time.Duration) time.Duration {
-	if first <= 0 || work <= 0 {
-		return first
+// count takes answers in. Those of an old version are gathered for a while.
+func (t *trials) count(now time.Time, key roll.BriefKey, tally roll.Tally, old bool) {
+	if !old {
+		t.evidence.Add(key, t.self, tally)
+		return
 	}
-	return max(1, time.Duration(float64(first)/float64(work)*float64(scaleUnit)))
+	t.held[key] = t.held[key].Plus(tally)
+	t.flush(now)
 }
 
-// scaleUnit stands for a first event that comes as foreseen.
-const scaleUnit = 100 * time.Millisecond
-
-// trialConfig puts a roll-out of a service into the terms of package roll: the
-// service is the model, and its routes are the teams that may suffer alone.
-func trialConfig(v *world.View, r world.Rollout) (*fleet.Config, fleet.RolloutState) {
-	model := modelOf(r)
-	stable := v.Stable(r.Service)
-	teams := map[ident.TeamID]*fleet.Team{}
-	for _, id := range v.Config.RoutesOf(r.Service) {
-		teams[ident.TeamID(id)] = &fleet.Team{ID: ident.TeamID(id)}
-	}
-	return &fleet.Config{
-		Teams: teams,
-		Models: map[ident.ModelID]*fleet.Model{
-			model: {ID: model, Default: stable, Versions: []ident.VersionID{stable, r.Target}},
-		},
-		Rollouts: map[ident.ModelID]*fleet.Rollout{
-			model: {Model: model, To: r.Target, Steps: []fleet.Step{{Evidence: world.TrialAnswers}}, Limits: limits},
-		},
-	}, fleet.RolloutState{
-		Model: model, To: r.Target, Entered: r.Seen,
+// flush takes the gathered answers into the evidence if it is time.
+func (t *trials) flush(now time.Time) {
+	if now.Sub(t.flushed) < holdTime {
+		return
 	}
+	t.flushed = now
+	for key, h := range t.held {
+		t.evidence.Add(key, t.self, h)
+	}
+	clear(t.held)
 }
 
-// modelOf names the evidence on one order apart from that on earlier ones.
-func modelOf(r world.Rollout) ident.ModelID {
-	return ident.ModelID(string(r.Service) + "#" + r.Order)
+// slice gives the slice of a roll-out's evidence in which a time falls.
+func slice(now time.Time, r world.Rollout) int { return int(max(0, now.Sub(r.Seen)) / sliceTime) }
+
+// inProportion puts the time to a first event in proportion to the work
+// foreseen of a request of its size, so that long prompts do not hide a slow
+// version. It gives 0 if there is nothing to compare.
+func inProportion(first, work time.Duration) float64 {
+	if first <= 0 || work <= 0 {
+		return 0
+	}
+	return float64(first) / float64(work)
 }
 
+// orderOf names the evidence on one roll-out apart from that on earlier ones.
+func orderOf(r world.Rollout) orderID { return orderID(string(r.Service) + "#" + r.Order) }
+
 // carry takes each open roll-out a stage further if it is time.
 func (t *Steer) carry(ctx context.Context, now time.Time) {
 	v := t.View()
@@ -175,13 +228,13 @@
 		if !r.Open() {
 			continue
 		}
-		config, state := trialConfig(v, r)
 		t.lock.Lock()
-		decision := roll.Decide(now, config, state, t.trials.evidence)
+		t.trials.flush(now)
+		verdict := t.trials.evidence.Judge(string(orderOf(r)), v.Stable(r.Service), r.Target, slice(now, r))
 		waiting := now.Before(t.trials.writing[r.Service])
 		t.lock.Unlock()
-		t.judged(now, r, decision)
-		stage, reason := r.Next(now, decision, t.turn(r))
+		t.judged(now, r, verdict)
+		stage, reason := r.Next(now, verdict, t.turn(r))
 		if stage == r.Stage || waiting {
 			continue
 		}
@@ -193,20 +246,18 @@
 }
 
 // judged logs what the evidence on a roll-out says, now and then.
-func (t *Steer) judged(now time.Time, r world.Rollout, decision roll.Decision) {
+func (t *Steer) judged(now time.Time, r world.Rollout, verdict roll.Verdict) {
 	t.lock.Lock()
 	due := now.Sub(t.trials.logged[r.Service]) >= judgeEvery
 	if due {
 		t.trials.logged[r.Service] = now
 	}
-	total := t.trials.evidence.Total(roll.Key{Release: ident.Release{Model: modelOf(r), Version: r.Target}})
 	t.lock.Unlock()
 	if due {
 		t.log.Info("rollout judged", zap.String("name", string(r.Service)), zap.String("target", string(r.Target)),
 			zap.String("stage", string(r.Stage)), zap.Duration("age", now.Sub(r.Seen)),
-			zap.String("verdict", fmt.Sprintf("%T", decision)), zap.Any("detail", decision),
-			zap.Uint64("answers", total[roll.CountRequests]), zap.Uint64("failed", total[roll.CountErrors]),
-			zap.Duration("median", total.Median()), zap.Any("counts", total.Sparse()))
+			zap.Float64("chance", verdict.Chance), zap.Uint64("answers", verdict.Answers),
+			zap.String("worst", verdict.Describe()))
 	}
 }
 
--- a/internal/world/next.go
+++ b/internal/world/next.go
@@ -15,13 +15,16 @@
 	// trialPart is the part of a roll-out's duration that its trial takes at
 	// least: sessions that began before it keep their version for that long.
 	trialPart = 0.52
-	// clearStrength is the evidence against a version, as a part of what would
-	// withdraw it, up to which the load moves at the end of the trial.
-	clearStrength = 0.2
-	// doubtPart is the part of the duration for which a suspicion up to
-	// doubtStrength prolongs the trial; a stronger one keeps the load away.
-	doubtPart     = 0.66
-	doubtStrength = 0.35
+	// undoChance is the chance that a sound version looks as bad at which a
+	// roll-out is undone.
+	undoChance = 0.003
+	// clearChance is the chance from which the load moves at the end of the
+	// trial.
+	clearChance = 0.3
+	// doubtPart is the part of the duration for which a suspicion prolongs the
+	// trial; below doubtChance it keeps the load away for good.
+	doubtPart   = 0.66
+	doubtChance = 0.1
 	// movePart is the part of the duration that the move takes.
 	movePart = 0.26
 	// probeShare goes to the target in the first probeTime of the move, to show
@@ -72,9 +75,9 @@
 
 // Next gives the stage that a roll-out should be at, and why. Turn, from 0 to
 // 1, delays this router's steps forward; a step back is never delayed.
-func (r *Rollout) Next(now time.Time, evidence roll.Decision, turn float64) (Stage, string) {
-	if w, bad := evidence.(roll.Withdraw); bad && r.Stage != StageOrdered {
-		return StageUndone, w.Reason
+func (r *Rollout) Next(now time.Time, verdict roll.Verdict, turn float64) (Stage, string) {
+	if verdict.Chance <= undoChance && r.Stage != StageOrdered {
+		return StageUndone, verdict.Describe()
 	}
 	age := now.Sub(r.Seen) - time.Duration(turn*float64(turnSpread))
 	entered := now.Sub(r.Entered) - time.Duration(turn*float64(turnSpread))
@@ -85,11 +88,11 @@
 			return StageTrial, "taken up"
 		}
 	case StageTrial:
-		finish, enough := evidence.(roll.Finish)
 		if age+r.moveTime() > r.Duration && age < r.Duration {
 			return r.Stage, "" // too late to end in time, so that more evidence is worth more
 		}
-		if enough && age >= part(trialPart) && (finish.Strength <= clearStrength || age >= part(doubtPart) && finish.Strength <= doubtStrength) {
+		clear := verdict.Chance >= clearChance || age >= part(doubtPart) && verdict.Chance >= doubtChance
+		if clear && verdict.Answers >= TrialAnswers && age >= part(trialPart) {
 			return StageMoving, "no evidence against it"
 		}
 	case StageMoving:
--- /dev/null
+++ b/internal/world/quota_test.go
@@ -0,0 +1,46 @@
+package world_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/marigoldscale/marigoldscale/internal/world"
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+var _ = Describe("Quota", func() {
+	const (
+		exposure ident.Share = 0.15
+		slack                = 30
+	)
+	// spend sends requests of a service to several routers and gives what the
+	// target got after each.
+	spend := func(routers, requests int) []int {
+		quotas := make([]world.Quota, routers)
+		spent, sent := make([]float64, routers), 0
+		var seen []int
+		for i := range requests {
+			n := i % routers
+			spent[n] += float64(quotas[n].Share(exposure, slack, routers))
+			hit := spent[n] >= 1
+			if hit {
+				spent[n]--
+				sent++
+			}
+			quotas[n].Add(hit)
+			seen = append(seen, sent)
+		}
+		return seen
+	}
+
+	// The load: a service of few requests, on few and on many routers.
+	It("gives a trial more at the beginning, and never more than is allowed", func() {
+		for _, routers := range []int{1, 8, 80} {
+			seen := spend(routers, 400)
+			for i, n := range seen {
+				Expect(float64(n)).To(BeNumerically("<=", float64(exposure)*float64(i+1)+slack))
+			}
+		}
+		Expect(spend(8, 400)[79]).To(BeNumerically(">=", 16)) // 10 by the share alone
+	})
+})
--- a/internal/world/world_test.go
+++ b/internal/world/world_test.go
@@ -146,20 +146,22 @@
 		rollout := func(stage world.Stage, entered time.Time) world.Rollout {
 			return world.Rollout{Service: "s", Target: "v2", Duration: 20 * time.Second, Stage: stage, Seen: start, Entered: entered}
 		}
-		enough := roll.Finish{Step: 1}
+		enough := roll.Verdict{Chance: 1, Answers: world.TrialAnswers}
+		few := roll.Verdict{Chance: 1, Answers: 3}
+		doubtful := func(chance float64) roll.Verdict { return roll.Verdict{Chance: chance, Answers: world.TrialAnswers} }
 
 		It("moves the load only after the trial's time and answers", func() {
 			r := rollout(world.StageTrial, start)
-			next := func(now time.Time, d roll.Decision) world.Stage {
+			next := func(now time.Time, d roll.Verdict) world.Stage {
 				stage, _ := r.Next(now, d, 0)
 				return stage
 			}
 			Expect(next(at(9), enough)).To(Equal(world.StageTrial))
-			Expect(next(at(11), roll.Hold{Seen: 3})).To(Equal(world.StageTrial))
-			Expect(next(at(19), roll.Hold{Seen: 3})).To(Equal(world.StageTrial))
-			Expect(next(at(11), roll.Finish{Strength: 0.4})).To(Equal(world.StageTrial))
-			Expect(next(at(14), roll.Finish{Strength: 0.3})).To(Equal(world.StageMoving))
-			Expect(next(at(19), roll.Finish{Strength: 0.4})).To(Equal(world.StageTrial))
+			Expect(next(at(11), few)).To(Equal(world.StageTrial))
+			Expect(next(at(19), few)).To(Equal(world.StageTrial))
+			Expect(next(at(11), doubtful(0.05))).To(Equal(world.StageTrial))
+			Expect(next(at(14), doubtful(0.15))).To(Equal(world.StageMoving))
+			Expect(next(at(19), doubtful(0.05))).To(Equal(world.StageTrial))
 			Expect(next(at(19), enough)).To(Equal(world.StageTrial))
 			Expect(next(at(20), enough)).To(Equal(world.StageMoving))
 			Expect(next(at(11), enough)).To(Equal(world.StageMoving))
@@ -181,9 +183,9 @@
 		It("steps back at once, at any stage and whoever's turn it is", func() {
 			for _, stage := range []world.Stage{world.StageTrial, world.StageMoving} {
 				r := rollout(stage, start)
-				next, reason := r.Next(at(0.1), roll.Withdraw{Reason: "worse"}, 1)
+				next, reason := r.Next(at(0.1), roll.Verdict{Chance: 0.001, Kind: roll.KindErrors, Tally: roll.Tally{Answers: 9, Failed: 7}}, 1)
 				Expect(next).To(Equal(world.StageUndone))
-				Expect(reason).To(Equal("worse"))
+				Expect(reason).To(ContainSubstring("7 of 9 answers failed"))
 			}
 		})
 
