Tell all routers what waits at endpoints and what they have read

Cause: on the grown sites each of 80 routers sees a small part of the load.

Now: what waits goes to all routers by model every 0.1 to 0.2 s, with hashes of the parts read; a request looks at the homes of its shared part and at three endpoints drawn for it; waits follow from engines that read in turns; times are learned from the quicker measurements; first opinions go before larger models' prompts; the budget counts a sliding window and keeps a tenth for failures; no larger model is asked whose answer would not end in time.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -81,7 +81,7 @@
 		return nil, fmt.Errorf("making the relay: %w", err)
 	}
 	e.server = server
-	e.steer.Measure(server.Waiting)
+	e.steer.Share(server.Waiting, server.Heard)
 	e.idle = newIdleLimits()
 	return e, nil
 }
--- a/internal/feed/frame.go
+++ b/internal/feed/frame.go
@@ -35,10 +35,18 @@
 	// Evidence is what package steer exchanges on versions, opaque here.
 	Evidence []json.RawMessage `json:"evidence,omitempty"`
 	Kept     []Kept            `json:"kept,omitempty"`
-	// Work is what waits at endpoints for a first event, in milliseconds: of
-	// the sender and its followers on the way up, of all routers on the way
-	// down.
-	Work map[ident.EndpointID]int64 `json:"work,omitempty"`
+	Load     *Load             `json:"load,omitempty"`
+}
+
+// Load tells what endpoints have been sent.
+type Load struct {
+	// Waiting is what waits for a first event: of the sender and its followers
+	// on the way up, of all routers on the way down. Each entry holds three
+	// numbers for each model: its place in Models, requests, milliseconds.
+	Waiting map[ident.EndpointID][]int64 `json:"waiting,omitempty"`
+	Models  []ident.ModelID              `json:"models,omitempty"`
+	// Read are hashes of shared parts of prompts, by the endpoint that got them.
+	Read map[ident.EndpointID][]uint64 `json:"read,omitempty"`
 }
 
 // Kept tells of a session that stays on its version for a while.
--- a/internal/feed/link.go
+++ b/internal/feed/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"time"
 
 	"google.golang.org/grpc"
@@ -15,6 +16,7 @@
 	conn   *grpc.ClientConn
 	stream grpc.ClientStream
 	cancel context.CancelFunc
+	lock   sync.Mutex // a stream takes one message at a time
 }
 
 // Follow opens a stream from a peer, within a time.
@@ -46,8 +48,11 @@
 	return f, nil
 }
 
-// Send passes a frame to the router that is followed.
+// Send passes a frame to the router that is followed. It is safe for use by
+// many goroutines.
 func (l *Link) Send(f Frame) error {
+	l.lock.Lock()
+	defer l.lock.Unlock()
 	if err := l.stream.SendMsg(&f); err != nil {
 		return fmt.Errorf("telling router %q: %w", l.Peer.Router, err)
 	}
--- a/internal/pass/cascade.go
+++ b/internal/pass/cascade.go
@@ -15,9 +15,15 @@
 	busyWait  = 0.1
 	// lateValue is the part of its worth that a late answer keeps.
 	lateValue = 0.4
+	// askingReserve is the part of the budget that asking a larger model leaves
+	// for requests that fail: a doubtful answer is better than none.
+	askingReserve = 0.1
 	// doubtFrom is the part of the objective from which an answer that is
 	// foreseen in time may come late, as half of those foreseen at its end do.
 	doubtFrom = 0.5
+	// wholeFrom is the part of the time left from which an answer that is
+	// foreseen to end in it may not.
+	wholeFrom = 0.6
 )
 
 // Doubt is what is known when a smaller model has answered.
@@ -26,6 +32,7 @@
 	Elapsed    time.Duration // since the request came
 	Next       time.Duration // foreseen to the larger model's first event, 0 if unknown
 	Work       time.Duration // of Next, the larger model's own work
+	Writing    time.Duration // foreseen from its first event to its last
 	Objective  time.Duration
 	Left       time.Duration // until the final answer is due
 }
@@ -34,10 +41,10 @@
 // hand. It answers the pattern of a load that the larger model cannot bear: the
 // longer its requests wait, the less sure an answer has to be to be passed on.
 func (d Doubt) Asks() bool {
-	if d.Confidence < 0 || d.Next >= d.Left {
+	if d.Confidence < 0 || d.Next+d.Writing >= d.Left {
 		return false
 	}
-	return float64(d.Confidence)/100 < d.value()-d.price()
+	return float64(d.Confidence)/100 < d.value()*d.whole()-d.price()
 }
 
 // value is the part of its worth that the larger model's answer will earn.
@@ -56,6 +63,15 @@
 	return inTime + (1-inTime)*lateValue
 }
 
+// whole is the chance that the larger model's answer ends in the time left.
+func (d Doubt) whole() float64 {
+	part := float64(d.Next+d.Writing) / float64(d.Left)
+	if part <= wholeFrom {
+		return 1
+	}
+	return (1 - part) / (1 - wholeFrom)
+}
+
 func (d Doubt) price() float64 {
 	if d.Objective <= 0 {
 		return askingPrice
--- a/internal/pass/course.go
+++ b/internal/pass/course.go
@@ -18,7 +18,7 @@
 // Course is one request's course. Step may not be called after Over.
 type Course struct {
 	request  Request
-	budget   *retry.Budget
+	budget   *retry.Window
 	ladder   []ident.ModelID
 	rung     int
 	attempts []attempt
@@ -50,7 +50,7 @@
 // New makes the course of a request. Attempts after the first are taken from
 // the budget. The ladder names the models to try, the first one first; it is
 // empty if the model is the caller's choice.
-func New(r Request, ladder []ident.ModelID, budget *retry.Budget) *Course {
+func New(r Request, ladder []ident.ModelID, budget *retry.Window) *Course {
 	return &Course{request: r, ladder: ladder, budget: budget, last: r.After}
 }
 
@@ -87,6 +87,17 @@
 	return nil
 }
 
+// Urgency ranks an attempt among those that wait at its endpoint, 0 first. A
+// first opinion is short work and goes before the larger models' long prompts,
+// which it would otherwise wait for many times its own length.
+func (c *Course) Urgency(d Dispatch) int {
+	level := min(max(c.request.Priority, 0), urgentLevels-1)
+	if len(c.ladder) > 1 && d.Model != c.ladder[0] {
+		level += urgentLevels
+	}
+	return level
+}
+
 // place asks for an endpoint for the next attempt.
 func (c *Course) place() []Action {
 	c.pending = true
@@ -160,7 +171,7 @@
 
 // repeat sends the request again if the budget allows.
 func (c *Course) repeat(now time.Time) []Action {
-	if !c.budget.Take(now) {
+	if !c.budget.Take(now, 0) {
 		return c.fail(now, ReasonBudget, 0)
 	}
 	return c.place()
@@ -181,7 +192,7 @@
 			continue
 		}
 		a.patience = time.Time{}
-		if !c.mayRepeat(now) || !c.budget.Take(now) {
+		if !c.mayRepeat(now) || !c.budget.Take(now, 0) {
 			continue
 		}
 		c.ran = true
--- a/internal/pass/event.go
+++ b/internal/pass/event.go
@@ -37,6 +37,7 @@
 	Head    Head
 	Next    time.Duration // foreseen to the first event of the next model, if there is one
 	Work    time.Duration // of Next, that model's own work
+	Writing time.Duration // foreseen from its first event to its last
 }
 
 // Piece brings one whole event of a stream, with its id.
--- a/internal/pass/stream.go
+++ b/internal/pass/stream.go
@@ -60,10 +60,10 @@
 		return Doubt{}, false
 	}
 	d := Doubt{
-		Confidence: h.Head.Confidence, Elapsed: now.Sub(c.request.Arrived), Next: h.Next, Work: h.Work,
+		Confidence: h.Head.Confidence, Elapsed: now.Sub(c.request.Arrived), Next: h.Next, Work: h.Work, Writing: h.Writing,
 		Objective: c.request.Route.Objective, Left: c.request.Limit.Sub(now),
 	}
-	return d, d.Asks() && c.budget.Take(now)
+	return d, d.Asks() && c.budget.Take(now, askingReserve)
 }
 
 func (c *Course) piece(p Piece) []Action {
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -42,6 +42,8 @@
 // placement is what is noted of an attempt's place until its first answer.
 type placement struct {
 	endpoint ident.EndpointID
+	first    time.Time // when its first answer came
+	model    ident.ModelID
 	work     time.Duration // expected of the endpoint
 	settled  bool
 }
@@ -145,7 +147,7 @@
 		After: d.After, Urgency: -1,
 	}
 	if s := c.server.control.View().Config.Services[c.request.Service]; s != nil && s.Capacity > 0 {
-		send.Urgency = c.request.Priority
+		send.Urgency = c.machine.Urgency(d)
 	}
 	h := passOn(c.r.Header)
 	c.server.dialect.Send(h, send)
@@ -177,6 +179,14 @@
 		c.settled(x.Attempt)
 	case pass.Answered:
 		c.settled(x.Attempt)
+		if x.Head.NotRun || x.Head.Foreign {
+			c.warn("attempt turned away", zap.Int("attempt", int(x.Attempt)), zap.Int("status", x.Head.Status),
+				zap.String("endpoint", string(c.placed[x.Attempt].endpoint)), zap.Duration("after", x.Head.After))
+		}
+	case pass.Ended:
+		if p := c.placed[x.Attempt]; c.placed[0].model == p.model || len(c.placed) == 2 {
+			c.server.tempo.Written(p.model, c.request.Output, c.server.clock().Sub(p.first))
+		}
 	case pass.Broken:
 		c.warn("attempt broke", zap.Int("attempt", int(x.Attempt)), zap.Bool("sent", x.Sent),
 			zap.String("endpoint", string(c.placed[x.Attempt].endpoint)), zap.Error(c.exchanges[x.Attempt].cause))
@@ -186,8 +196,8 @@
 func (c *call) settled(n pass.Attempt) {
 	p := &c.placed[n]
 	if !p.settled {
-		p.settled = true
-		c.server.tempo.Settle(p.endpoint, p.work)
+		p.settled, p.first = true, c.server.clock()
+		c.server.tempo.Settle(p.endpoint, p.model, p.work)
 	}
 }
 
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -30,12 +30,14 @@
 	e := endpoints[pick.Site]
 	c.log("placed", zap.Int("attempt", int(p.Attempt)), zap.String("endpoint", string(e.ID)),
 		zap.String("zone", string(e.Zone)), zap.String("version", string(e.Version)), zap.String("model", string(p.Model)),
-		zap.Duration("expected", pick.Expected), zap.Int64("uncached", int64(pick.Uncached)), zap.Int("sites", len(sites)), zap.String("session", string(c.request.Session)))
-	c.placed = append(c.placed, placement{endpoint: e.ID, work: pick.Work})
+		zap.Duration("expected", pick.Expected), zap.Duration("work", pick.Work), zap.Duration("wait", pick.Wait), zap.Int("home", pick.Rank), zap.Int64("uncached", int64(pick.Uncached)), zap.Int("sites", len(sites)), zap.String("session", string(c.request.Session)))
+	c.placed = append(c.placed, placement{endpoint: e.ID, model: errand.Model, work: pick.Work})
 	c.server.loads.Start(now, e.ID)
-	c.server.tempo.Start(e.ID, pick.Work)
+	c.server.tempo.Start(e.ID, errand.Model, pick.Work)
 	if n := len(c.request.Parts); n > 1 {
-		c.server.prefixes.Sent(e.ID, route.Chain(errand.Model, c.request.Parts[:n-1]))
+		chain := route.Chain(errand.Model, c.request.Parts[:n-1])
+		c.server.prefixes.Sent(e.ID, chain)
+		c.server.control.Reads(now, e.ID, chain, c.request.Parts[:n-1])
 	}
 	c.step(pass.Placed{Attempt: p.Attempt, Endpoint: e, Expected: pick.Expected, Base: pick.Base, Work: pick.Work, Uncached: pick.Uncached})
 }
@@ -45,7 +47,7 @@
 		Seed: c.request.Seed, Zone: c.server.settings.Zone, Model: c.modelOr(model),
 		Prompt: c.request.Prompt, Parts: c.request.Parts, Size: len(c.body),
 		Exclude: exclude, Left: c.request.Limit.Sub(now),
-		Others: func(id ident.EndpointID) time.Duration { return c.server.control.Others(now, id) },
+		Others: func(id ident.EndpointID) route.Piles { return c.server.control.Others(now, id) },
 	}
 }
 
@@ -68,7 +70,7 @@
 		h.Next = c.request.Limit.Sub(now) // nobody can answer in time
 		return h
 	}
-	h.Next, h.Work = pick.Expected, pick.Work
+	h.Next, h.Work, h.Writing = pick.Expected, pick.Work, c.server.tempo.Writing(next, c.request.Output)
 	c.next = pick.Expected
 	return h
 }
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -53,9 +53,11 @@
 	Version(now time.Time, v *world.View, service ident.ServiceID, key uint64, session ident.SessionKey) ident.VersionID
 	// Observe takes in how an attempt fared.
 	Observe(now time.Time, route paths.RouteID, session ident.SessionKey, report pass.Report)
-	// Others gives the work that other routers have sent to an endpoint and
-	// that has not answered yet.
-	Others(now time.Time, id ident.EndpointID) time.Duration
+	// Others gives what other routers have sent to an endpoint and what has not
+	// answered yet.
+	Others(now time.Time, id ident.EndpointID) route.Piles
+	// Reads takes in that an endpoint was sent the shared parts of a prompt.
+	Reads(now time.Time, id ident.EndpointID, chain []uint64, parts []route.Part)
 	// Routers gives the number of routers that share the endpoints, at most.
 	Routers() int
 }
@@ -75,7 +77,7 @@
 	clock    func() time.Time
 
 	lock     sync.Mutex
-	budgets  map[ident.ServiceID]*retry.Budget
+	budgets  map[ident.ServiceID]*retry.Window
 	running  atomic.Int64
 	stopping atomic.Bool
 }
@@ -90,16 +92,20 @@
 		settings: s, dialect: dialect, control: control,
 		links: NewLinks(set.Registry(), clock), loads: route.NewTable(), tempo: route.NewTempo(),
 		prefixes: prefixes, cold: route.NewColdShare(string(s.Router)), log: log, metrics: set, clock: clock,
-		budgets: map[ident.ServiceID]*retry.Budget{},
+		budgets: map[ident.ServiceID]*retry.Window{},
 	}, nil
 }
 
 // Stop makes answers tell callers to open their next connection elsewhere.
 func (s *Server) Stop() { s.stopping.Store(true) }
 
-// Waiting gives the work that waits at endpoints for a first event, in
-// milliseconds.
-func (s *Server) Waiting() map[ident.EndpointID]int64 { return s.tempo.Waiting() }
+// Waiting gives what waits at endpoints for a first event, of this router's own
+// requests.
+func (s *Server) Waiting() route.Waiting { return s.tempo.Waiting() }
+
+// Heard takes in which shared parts of prompts other routers have sent to an
+// endpoint.
+func (s *Server) Heard(id ident.EndpointID, chain []uint64) { s.prefixes.Sent(id, chain) }
 
 // Running gives the number of requests in progress.
 func (s *Server) Running() int64 { return s.running.Load() }
@@ -118,14 +124,14 @@
 
 // budget gives the retry budget of a service. Each router keeps to its own
 // requests' share and to a part of the allowance that all of them have.
-func (s *Server) budget(service ident.ServiceID) *retry.Budget {
+func (s *Server) budget(service ident.ServiceID) *retry.Window {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	b := s.budgets[service]
 	if b == nil {
-		burst := max(1, float64(s.settings.Retries.Extra)*retrySlack/float64(max(1, s.control.Routers())))
-		share := s.settings.Retries.Share
-		b = retry.NewWindowed(share*retryMargin, share*retrySpare, s.settings.Retries.Window, burst)
+		l := s.settings.Retries
+		extra := max(1, float64(l.Extra)*retrySlack/float64(max(1, s.control.Routers())))
+		b = retry.NewWindow(l.Share*retryMargin, extra, l.Window)
 		s.budgets[service] = b
 	}
 	return b
@@ -134,12 +140,9 @@
 const (
 	// retryMargin keeps the routers together under the allowed share, since
 	// requests and their repeats fall into different windows.
-	retryMargin = 0.85
-	// retrySpare is the part of the share by which a router's savings may grow;
-	// with retryMargin it stays below the whole.
-	retrySpare = 0.09
+	retryMargin = 0.95
 	// retrySlack is the part of the allowance beyond the share that is used.
-	retrySlack = 0.5
+	retrySlack = 0.8
 )
 
 // ServeHTTP answers one request.
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -21,9 +21,6 @@
 	share  ident.Share
 	burst  float64
 	floor  float64
-	spare  ident.Share   // of the first attempts in a window, by which burst grows
-	window time.Duration // over which first attempts are counted
-	recent float64       // first attempts in the last window, decayed
 	tokens float64
 	last   time.Time
 }
@@ -39,22 +36,12 @@
 	return &Budget{share: share, burst: burst, floor: floor, tokens: burst}
 }
 
-// NewWindowed gives a budget for a limit that counts over windows: what is
-// saved up may grow by the spare share of the first attempts in a window.
-func NewWindowed(share, spare ident.Share, window time.Duration, burst float64) *Budget {
-	return &Budget{share: share, spare: spare, window: window, burst: burst, tokens: burst}
-}
-
-// most is the number of extra attempts saved up at most.
-func (b *Budget) most() float64 { return b.burst + float64(b.spare)*b.recent }
-
 // Earn records a first attempt.
 func (b *Budget) Earn(now time.Time) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	b.refill(now)
-	b.recent++
-	b.tokens = math.Min(b.tokens+float64(b.share), b.most())
+	b.tokens = math.Min(b.tokens+float64(b.share), b.burst)
 }
 
 // Take asks for one extra attempt, and tells whether it is allowed.
@@ -75,9 +62,6 @@
 		return
 	}
 	passed := now.Sub(b.last).Seconds()
-	if b.window > 0 {
-		b.recent *= math.Exp(-passed / b.window.Seconds())
-	}
-	b.tokens = math.Min(b.tokens+passed*b.floor, b.most())
+	b.tokens = math.Min(b.tokens+passed*b.floor, b.burst)
 	b.last = now
 }
--- /dev/null
+++ b/internal/retry/window_test.go
@@ -0,0 +1,101 @@
+package retry_test
+
+import (
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/marigoldscale/marigoldscale/internal/retry"
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+var _ = Describe("Window", func() {
+	const length = 10 * time.Second
+
+	It("keeps what is sent again within the share of any window", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			share := rapid.Float64Range(0, 1).Draw(t, "share")
+			extra := rapid.Float64Range(0, 20).Draw(t, "extra")
+			w := retry.NewWindow(ident.Share(share), extra, length)
+			type event struct {
+				at    time.Time
+				again bool
+			}
+			var events []event
+			at := now
+			for range rapid.IntRange(1, 400).Draw(t, "events") {
+				at = at.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "pause")) * time.Millisecond)
+				if rapid.Bool().Draw(t, "first") {
+					w.Earn(at)
+					events = append(events, event{at: at})
+				} else if w.Take(at, 0) {
+					events = append(events, event{at: at, again: true})
+				}
+			}
+			for i, last := range events {
+				if !last.again {
+					continue
+				}
+				first, again := 0, 0
+				for _, e := range events[:i+1] {
+					switch {
+					case last.at.Sub(e.at) > length:
+					case e.again:
+						again++
+					default:
+						first++
+					}
+				}
+				if float64(again) > share*float64(first)+extra+1e-9 {
+					t.Fatalf("%d sent again within a window of %d requests, share %g, extra %g", again, first, share, extra)
+				}
+			}
+		})
+	})
+
+	// The load: a router of the grown sites, three requests a second of which
+	// nearly half are sent again, and then a crash of a third of the endpoints
+	// for three seconds that breaks two in three.
+	It("bears a crash that breaks most of what a router sends", func() {
+		lost, asked := 0, 0
+		for seed := range uint64(20) {
+			r := rand.New(rand.NewPCG(seed, 1))
+			w := retry.NewWindow(0.81, 1.25, length)
+			for ms := 0; ms < 14_000; ms += 333 {
+				at := now.Add(time.Duration(ms) * time.Millisecond)
+				w.Earn(at)
+				if r.Float64() < 0.46 {
+					w.Take(at, 0.25)
+				}
+				if ms >= 11_000 && r.Float64() < 0.66 {
+					asked++
+					if !w.Take(at, 0) {
+						lost++
+					}
+				}
+			}
+		}
+		Expect(float64(lost)).To(BeNumerically("<=", 0.05*float64(asked)))
+	})
+
+	It("leaves a reserve for those who need it more", func() {
+		w := retry.NewWindow(0, 8, length)
+		taken := 0
+		for w.Take(now, 0.25) {
+			taken++
+		}
+		Expect(taken).To(Equal(6))
+		Expect(w.Take(now, 0)).To(BeTrue())
+	})
+
+	It("is not filled by a clock that jumps", func() {
+		w := retry.NewWindow(0, 2, length)
+		Expect(w.Take(now, 0)).To(BeTrue())
+		Expect(w.Take(now.Add(-time.Hour), 0)).To(BeTrue())
+		Expect(w.Take(now.Add(time.Second), 0)).To(BeFalse())
+		Expect(w.Take(now.Add(11*time.Second), 0)).To(BeTrue())
+	})
+})
--- a/internal/route/parts.go
+++ b/internal/route/parts.go
@@ -48,17 +48,19 @@
 	Size    int // bytes that are sent and come back, estimated
 	Exclude []ident.EndpointID
 	Left    time.Duration // until the answer is of no use
-	// Others gives the work that other routers have sent to an endpoint and
-	// that has not answered yet.
-	Others func(ident.EndpointID) time.Duration
+	// Others gives what other routers have sent to an endpoint and what has not
+	// answered yet.
+	Others func(ident.EndpointID) Piles
 }
 
 // Pick is the outcome of a choice.
 type Pick struct {
 	Site     int           // index of the site chosen, -1 for none
+	Rank     int           // among the homes of the prompt's shared parts, -1 for none of them
 	Expected time.Duration // to the answer or first event
 	Base     time.Duration // the same without correction by experience
 	Work     time.Duration // of Base, the part that the endpoint works on this request
+	Wait     time.Duration // of Base, for the prompts of others
 	Uncached ident.Tokens  // of the prompt that are to be read
 	Cost     time.Duration // what the choice was made by
 	Late     bool          // there are sites, but none can answer in time
@@ -66,9 +68,9 @@
 }
 
 const (
-	// homeTrust is the part of the shared prompt that is taken for cached at
-	// its home although this router has not sent it there itself.
-	homeTrust = 0.7
+	// correctionMost bounds how much an endpoint's late first events add to what
+	// is expected of it: they come from waits, which pass.
+	correctionMost = 4.0
 	// transferCost weighs a kilobyte moved between zones against waiting.
 	transferCost = time.Millisecond
 	// delayOthers weighs work against waiting: it delays the requests that come
@@ -79,59 +81,89 @@
 	// spreadNoise parts sites of nearly equal cost, so that routers with the
 	// same view do not all pick the same one.
 	spreadNoise = 0.05
+	// drawnSites is the number of sites that a request looks at beside its homes,
+	// on average.
+	drawnSites = 3.0
+	// drawnAgain is how many times as many it looks at if none was drawn.
+	drawnAgain = 3.0
 	// fullAfter is when to come back if every site has just refused.
 	fullAfter = 200 * time.Millisecond
 )
 
-// Choose picks the site with the least cost. It answers the pattern of long
-// prompts with shared parts under load: a request goes where its parts are
-// read already, unless the prompts waiting there cost more than to read them
-// elsewhere. The home of a shared prefix is the same on all routers without a
-// message between them, by rendezvous hashing.
+// homeTrust are the parts of a shared prompt that are taken for cached at its
+// homes, by rank, although this router has not sent it there itself.
+var homeTrust = [...]float64{0.2, 0.1, 0.05}
+
+// Choose picks a site of little cost. It answers the pattern of long prompts
+// with shared parts under load: a request goes where its parts are read
+// already, unless the prompts waiting there cost more than to read them
+// elsewhere. The homes of a shared prefix are the same on all routers without a
+// message between them, by rendezvous hashing; what is too much for the first
+// goes to the second, so that few endpoints read it. Beside its homes a request
+// looks at a few sites drawn for it alone: many routers that know the same of
+// all sites would all send to the best one until they hear of each other.
 func (t *Tempo) Choose(now time.Time, sites []Site, e Errand, loads *Table, prefixes *Prefixes) Pick {
 	chain := Chain(e.Model, e.Parts)
-	home := home(sites, chain)
+	homes := homes(sites, chain)
 	best := Pick{Site: -1}
 	var soonest time.Duration
-	for i := range sites {
-		if excluded(e.Exclude, sites[i].Endpoint) {
-			continue
-		}
-		l := loads.Load(now, sites[i].Endpoint, time.Time{})
-		if l.Backoff > 0 {
-			if soonest == 0 || l.Backoff < soonest {
-				soonest = l.Backoff
+	few := drawnSites / float64(max(1, len(sites)))
+	for _, draw := range [...]float64{few, drawnAgain * few, 1} {
+		for i := range sites {
+			if excluded(e.Exclude, sites[i].Endpoint) {
+				continue
+			}
+			l := loads.Load(now, sites[i].Endpoint, time.Time{})
+			if l.Backoff > 0 {
+				if soonest == 0 || l.Backoff < soonest {
+					soonest = l.Backoff
+				}
+				continue
+			}
+			if homes.rank(i) < 0 && noise(^e.Seed, sites[i].Endpoint) >= draw && prefixes.Cached(sites[i].Endpoint, shared(chain)) == 0 {
+				continue
+			}
+			p := t.weigh(now, i, &sites[i], e, l, chain, homes, prefixes)
+			if best.Site < 0 || p.Cost < best.Cost {
+				best = p
 			}
-			continue
 		}
-		p := t.weigh(now, i, &sites[i], e, l, chain, i == home, prefixes)
-		if best.Site < 0 || p.Cost < best.Cost {
-			best = p
+		if best.Site >= 0 {
+			break
 		}
 	}
 	if best.Site < 0 {
 		best.After = max(soonest, fullAfter)
 		return best
 	}
-	if e.Left > 0 && best.Expected > e.Left {
-		return Pick{Site: -1, Late: true, After: best.Expected - e.Left}
+	if e.Left > 0 && best.Base > e.Left { // a correction by experience is too rough to refuse by
+		return Pick{Site: -1, Late: true, After: best.Base - e.Left}
 	}
 	return best
 }
 
+// shared gives the part of a chain that other prompts may share.
+func shared(chain []uint64) []uint64 {
+	if len(chain) < 2 {
+		return nil
+	}
+	return chain[:len(chain)-1]
+}
+
 // weigh gives the cost of one site.
-func (t *Tempo) weigh(now time.Time, at int, s *Site, e Errand, l Load, chain []uint64, home bool, prefixes *Prefixes) Pick {
-	p := Pick{Site: at}
+func (t *Tempo) weigh(now time.Time, at int, s *Site, e Errand, l Load, chain []uint64, homes ranking, prefixes *Prefixes) Pick {
+	p := Pick{Site: at, Rank: homes.rank(at)}
 	if e.Prompt > 0 {
-		p.Uncached = max(0, e.Prompt-cached(s, e, chain, home, prefixes))
+		p.Uncached = max(0, e.Prompt-cached(s, e, chain, p.Rank, prefixes))
 	}
 	work := t.first(e.Model, p.Uncached)
-	wait := t.backlog(s.Endpoint)
+	var others Piles
 	if e.Others != nil {
-		wait += e.Others(s.Endpoint)
+		others = e.Others(s.Endpoint)
 	}
-	p.Base, p.Work = work+wait, work
-	p.Expected = time.Duration(float64(p.Base) * l.Factor)
+	wait := t.delay(t.backlog(s.Endpoint, others), p.Uncached)
+	p.Base, p.Work, p.Wait = work+wait, work, wait
+	p.Expected = time.Duration(float64(p.Base) * min(l.Factor, correctionMost))
 	crowd := 1.0
 	if s.Slots > 0 {
 		crowd += float64(l.Running) / float64(s.Slots)
@@ -145,34 +177,67 @@
 }
 
 // cached gives the tokens of the prompt that the site is expected to hold.
-func cached(s *Site, e Errand, chain []uint64, home bool, prefixes *Prefixes) ident.Tokens {
-	if len(chain) < 2 {
+func cached(s *Site, e Errand, chain []uint64, rank int, prefixes *Prefixes) ident.Tokens {
+	common := shared(chain)
+	if len(common) == 0 {
 		return 0
 	}
-	shared := chain[:len(chain)-1]
 	known := ident.Tokens(0)
-	for i := range prefixes.Cached(s.Endpoint, shared) {
+	for i := range prefixes.Cached(s.Endpoint, common) {
 		known += e.Parts[i].Tokens
 	}
-	if !home || s.New {
+	if rank < 0 {
 		return known
 	}
+	trust := homeTrust[rank]
+	if s.New {
+		trust *= newTrust
+	}
 	all := ident.Tokens(0)
-	for i := range shared {
+	for i := range common {
 		all += e.Parts[i].Tokens
 	}
-	return max(known, ident.Tokens(float64(all)*homeTrust))
+	return max(known, ident.Tokens(float64(all)*trust))
 }
 
-// home gives the site where a prompt's shared parts are kept, -1 for none.
-func home(sites []Site, chain []uint64) int {
+// newTrust is the part of homeTrust that holds at an endpoint of a version on
+// trial, which may not have read the prompt yet.
+const newTrust = 0.5
+
+// ranking lists the sites that are the homes of a prompt's shared parts.
+type ranking [len(homeTrust)]int
+
+// rank gives a site's place in the ranking, -1 if it has none.
+func (r ranking) rank(site int) int {
+	for i, at := range r {
+		if at == site {
+			return i
+		}
+	}
+	return -1
+}
+
+// homes ranks the sites where a prompt's shared parts are kept.
+func homes(sites []Site, chain []uint64) ranking {
+	var best ranking
+	var weights [len(best)]uint64
+	for i := range best {
+		best[i] = -1
+	}
 	if len(chain) < 2 {
-		return -1
+		return best
 	}
-	best, weight := -1, uint64(0)
 	for i := range sites {
-		if w := mixed(chain[len(chain)-2], sites[i].Endpoint); best < 0 || w > weight {
-			best, weight = i, w
+		w := mixed(chain[len(chain)-2], sites[i].Endpoint)
+		at := i
+		for k := range best {
+			if best[k] < 0 || w > weights[k] {
+				best[k], at = at, best[k]
+				weights[k], w = w, weights[k]
+			}
+			if at < 0 {
+				break
+			}
 		}
 	}
 	return best
--- a/internal/route/tempo.go
+++ b/internal/route/tempo.go
@@ -1,7 +1,9 @@
 package route
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,8 +16,14 @@
 	// tempoBase is the time to a first event apart from reading the prompt,
 	// before any was measured.
 	tempoBase = 30 * time.Millisecond
-	// tempoGain is the weight of a new measurement.
-	tempoGain = 0.1
+	// tempoKept is the number of latest measurements of which one is taken.
+	tempoKept = 24
+	// tempoRank is the part of them that is lower than the one taken: a first
+	// event may wait behind others, which says nothing of its own reading.
+	tempoRank = 0.25
+	// writtenRank is the same for the time that answers take, of which as many
+	// are slower as are faster.
+	writtenRank = 0.5
 	// tempoTokens is the least uncached prompt that shows the time for a token.
 	tempoTokens ident.Tokens = 1000
 	// tempoLow and tempoHigh bound what one measurement may say of a token.
@@ -32,19 +40,32 @@
 type Tempo struct {
 	lock    sync.Mutex
 	models  map[ident.ModelID]*pace
-	waiting map[ident.EndpointID]*queue
+	waiting Waiting
 	health  map[ident.EndpointID]*share
 	overall share
 }
 
+// pace is how fast a model reads, and how fast it writes.
 type pace struct {
-	base  float64 // seconds
-	token float64 // seconds
+	base, token ranked // to the first event, and for each token read
+	written     ranked // for each token that the answer may have
 }
 
-type queue struct {
-	pending time.Duration // expected work of own requests without a first event
-	count   int
+// ranked is one of the latest measurements, by rank.
+type ranked struct {
+	value  float64 // seconds
+	latest [tempoKept]float64
+	count  int
+}
+
+// add takes in a measurement. Rank is the part of the latest ones that is lower
+// than the one taken.
+func (r *ranked) add(seconds, rank float64) {
+	r.latest[r.count%tempoKept] = seconds
+	r.count++
+	sorted := slices.Clone(r.latest[:min(r.count, tempoKept)])
+	slices.Sort(sorted)
+	r.value = sorted[int(float64(len(sorted)-1)*rank)]
 }
 
 type share struct {
@@ -56,51 +77,44 @@
 func NewTempo() *Tempo {
 	return &Tempo{
 		models:  map[ident.ModelID]*pace{},
-		waiting: map[ident.EndpointID]*queue{},
+		waiting: Waiting{},
 		health:  map[ident.EndpointID]*share{},
 	}
 }
 
 // Start notes that a request with an expected work until its first event was
 // sent to the endpoint.
-func (t *Tempo) Start(endpoint ident.EndpointID, work time.Duration) {
+func (t *Tempo) Start(endpoint ident.EndpointID, model ident.ModelID, work time.Duration) {
 	t.lock.Lock()
 	defer t.lock.Unlock()
-	q := t.waiting[endpoint]
-	if q == nil {
-		q = &queue{}
-		t.waiting[endpoint] = q
-	}
-	q.pending += work
-	q.count++
+	t.waiting.Add(endpoint, model, Pile{Count: 1, Work: work})
 }
 
 // Settle notes that the request's first event came, or that none will.
-func (t *Tempo) Settle(endpoint ident.EndpointID, work time.Duration) {
+func (t *Tempo) Settle(endpoint ident.EndpointID, model ident.ModelID, work time.Duration) {
 	t.lock.Lock()
 	defer t.lock.Unlock()
-	q := t.waiting[endpoint]
-	if q == nil {
-		return
-	}
-	q.pending -= work
-	if q.count--; q.count <= 0 {
+	piles := t.waiting[endpoint]
+	left := piles[model].Minus(Pile{Count: 1, Work: work})
+	switch {
+	case left.Count > 0:
+		piles[model] = left
+	case len(piles) > 1:
+		delete(piles, model)
+	default:
 		delete(t.waiting, endpoint)
 	}
 }
 
-// Waiting gives the expected work of own requests without a first event, in
-// milliseconds.
-func (t *Tempo) Waiting() map[ident.EndpointID]int64 {
+// Waiting gives what waits of this router's own requests.
+func (t *Tempo) Waiting() Waiting {
 	t.lock.Lock()
 	defer t.lock.Unlock()
-	work := make(map[ident.EndpointID]int64, len(t.waiting))
-	for id, q := range t.waiting {
-		if ms := q.pending.Milliseconds(); ms > 0 {
-			work[id] = ms
-		}
+	all := make(Waiting, len(t.waiting))
+	for id, piles := range t.waiting {
+		all[id] = maps.Clone(piles)
 	}
-	return work
+	return all
 }
 
 // Measure takes in the time to a first event after reading uncached tokens.
@@ -109,12 +123,30 @@
 	defer t.lock.Unlock()
 	p := t.pace(model)
 	if uncached < tempoTokens {
-		p.base += tempoGain * (min(first.Seconds(), 1) - p.base)
+		p.base.add(first.Seconds(), tempoRank)
 		return
 	}
-	token := max(0, first.Seconds()-p.base) / float64(uncached)
-	token = min(max(token, tempoLow.Seconds()), tempoHigh.Seconds())
-	p.token += tempoGain * (token - p.token)
+	token := max(0, first.Seconds()-p.base.value) / float64(uncached)
+	p.token.add(min(max(token, tempoLow.Seconds()), tempoHigh.Seconds()), tempoRank)
+}
+
+// Written takes in the time from the first to the last event of an answer that
+// may have had so many tokens.
+func (t *Tempo) Written(model ident.ModelID, output ident.Tokens, took time.Duration) {
+	if output <= 0 {
+		return
+	}
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	t.pace(model).written.add(took.Seconds()/float64(output), writtenRank)
+}
+
+// Writing is the time that a model is expected to take from the first to the
+// last event of an answer, 0 if none was measured.
+func (t *Tempo) Writing(model ident.ModelID, output ident.Tokens) time.Duration {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	return time.Duration(t.pace(model).written.value * float64(output) * float64(time.Second))
 }
 
 // Outcome takes in whether the endpoint failed a request that it ran.
@@ -144,7 +176,7 @@
 func (t *Tempo) pace(model ident.ModelID) *pace {
 	p := t.models[model]
 	if p == nil {
-		p = &pace{base: tempoBase.Seconds(), token: tempoStart.Seconds()}
+		p = &pace{base: ranked{value: tempoBase.Seconds()}, token: ranked{value: tempoStart.Seconds()}}
 		t.models[model] = p
 	}
 	return p
@@ -155,16 +187,30 @@
 	t.lock.Lock()
 	defer t.lock.Unlock()
 	p := t.pace(model)
-	return time.Duration((p.base + p.token*float64(uncached)) * float64(time.Second))
+	return time.Duration((p.base.value + p.token.value*float64(uncached)) * float64(time.Second))
 }
 
-func (t *Tempo) backlog(endpoint ident.EndpointID) time.Duration {
+// reading is the time to read tokens without what comes before and after.
+func (t *Tempo) reading(model ident.ModelID, tokens ident.Tokens) time.Duration {
 	t.lock.Lock()
 	defer t.lock.Unlock()
-	if q := t.waiting[endpoint]; q != nil {
-		return max(0, q.pending)
+	p := t.pace(model)
+	return time.Duration(p.token.value * float64(tokens) * float64(time.Second))
+}
+
+// backlog gives what waits at an endpoint: of this router's own requests, and
+// what others tell of theirs.
+func (t *Tempo) backlog(endpoint ident.EndpointID, others Piles) Piles {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	sum := maps.Clone(others)
+	for model, p := range t.waiting[endpoint] {
+		if sum == nil {
+			sum = Piles{}
+		}
+		sum[model] = sum[model].Plus(p)
 	}
-	return 0
+	return sum
 }
 
 // failures is by how much the endpoint's share of failures exceeds that of all.
--- a/internal/steer/follow.go
+++ b/internal/steer/follow.go
@@ -49,6 +49,7 @@
 	opened time.Time
 	last   time.Time // of the last frame
 	ages   map[plat.Key]time.Duration
+	told   time.Time // when ages came
 	failed bool
 }
 
@@ -194,7 +195,7 @@
 	}
 	for kind, m := range t.mirrors {
 		age, told := l.ages[kind]
-		if !told || age+now.Sub(l.last) > m.limit() {
+		if !told || age+now.Sub(l.told) > m.limit() {
 			return false
 		}
 	}
@@ -224,6 +225,7 @@
 	}
 	defer stream.Close()
 	go t.testify(ctx, stream)
+	go t.reportLoad(ctx, stream)
 	for {
 		f, err := stream.Receive()
 		if err != nil {
@@ -235,7 +237,10 @@
 		if l.last.IsZero() {
 			t.log.Info("feed opened", zap.String("router", string(l.peer.Router)))
 		}
-		l.last, l.ages = now, f.Ages
+		l.last = now
+		if f.Ages != nil {
+			l.ages, l.told = f.Ages, now
+		}
 		l.lock.Unlock()
 	}
 }
@@ -254,8 +259,9 @@
 	t.mirrorLock.Unlock()
 	t.merge(f.Evidence)
 	t.kept.take(now, f.Kept)
-	if f.Work != nil {
-		t.loads.setTotal(now, f.Work)
+	if f.Load != nil {
+		t.loads.setTotal(now, unpackLoad(f.Load))
+		t.reads.take(now, fromAbove, f.Load.Read)
 	}
 }
 
@@ -263,20 +269,15 @@
 func (t *Steer) testify(ctx context.Context, stream *feed.Link) {
 	var mark evidenceMark
 	var sessions uint64
-	wasIdle := true
 	for ctx.Err() == nil {
 		sleep(ctx, evidenceEvery)
 		now := t.clock()
 		f := feed.Frame{
 			From: t.settings.Router, Evidence: t.evidence(&mark),
-			Kept: t.kept.since(now, &sessions), Work: t.loads.sum(now),
+			Kept: t.kept.since(now, &sessions),
 		}
-		idle := len(f.Work) == 0
-		if len(f.Evidence)+len(f.Kept) > 0 || !idle || !wasIdle {
-			wasIdle = idle
-			if stream.Send(f) != nil {
-				return // the receiver sees that the link is broken
-			}
+		if len(f.Evidence)+len(f.Kept) > 0 && stream.Send(f) != nil {
+			return // the receiver sees that the link is broken
 		}
 	}
 }
@@ -339,12 +340,7 @@
 	t.mirrorLock.Lock()
 	defer t.mirrorLock.Unlock()
 	now := t.clock()
-	work := t.loads.getTotal(now)
-	if t.first.Load() {
-		work = t.loads.sum(now)
-		t.loads.setTotal(now, work)
-	}
-	return feed.Frame{Work: work, Ages: t.ages(now), Evidence: t.evidence(&t.told), Kept: t.kept.since(now, &t.toldKept)}
+	return feed.Frame{Ages: t.ages(now), Evidence: t.evidence(&t.told), Kept: t.kept.since(now, &t.toldKept)}
 }
 
 // Heard takes in what a follower sends.
@@ -352,5 +348,8 @@
 	t.merge(f.Evidence)
 	now := t.clock()
 	t.kept.take(now, f.Kept)
-	t.loads.hear(now, f.From, f.Work)
+	if f.Load != nil {
+		t.loads.hear(now, f.From, unpackLoad(f.Load))
+		t.reads.take(now, fromBelow, f.Load.Read)
+	}
 }
--- a/internal/steer/loads.go
+++ b/internal/steer/loads.go
@@ -1,80 +1,94 @@
 package steer
 
 import (
+	"context"
+	"maps"
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
+	"github.com/marigoldscale/marigoldscale/internal/feed"
+	"github.com/marigoldscale/marigoldscale/internal/route"
 	"github.com/marigoldscale/marigoldscale/pkg/ident"
 )
 
-// loadLifetime is how long what another router told of its load is used.
-const loadLifetime = 1500 * time.Millisecond
-
-// pending is the work that waits at endpoints for a first event, in
-// milliseconds.
-type pending = map[ident.EndpointID]int64
+const (
+	// loadLifetime is how long what another router told of its load is used.
+	loadLifetime = 1500 * time.Millisecond
+	// loadEvery is the pause between reports of load: a fraction of the time
+	// that an engine reads a long prompt.
+	loadEvery = 60 * time.Millisecond
+	// loadEach is what each endpoint adds to that pause, so that the bytes that
+	// a router sends and hears do not grow with their number.
+	loadEach = 600 * time.Microsecond
+)
 
-// loads adds up the work that all routers have sent to each endpoint and that
-// has not answered yet. Each router passes the sum of its own and its
-// followers' to the one it follows, and the total comes back the same way.
+// loads adds up what all routers have sent to each endpoint and what has not
+// answered yet. Each router passes the sum of its own and its followers' to the
+// one it follows, and the total comes back the same way.
 type loads struct {
 	lock  sync.Mutex
-	own   func() pending
+	own   func() route.Waiting
 	heard map[ident.RouterID]loadReport
-	sent  pending // own part of the sum last passed on
-	total pending
+	sent  route.Waiting // own part of the sum last passed on
+	total route.Waiting
 	at    time.Time // of total
 }
 
 type loadReport struct {
-	work pending
-	at   time.Time
+	waiting route.Waiting
+	at      time.Time
 }
 
 func newLoads() *loads {
-	return &loads{own: func() pending { return nil }, heard: map[ident.RouterID]loadReport{}}
+	return &loads{own: func() route.Waiting { return nil }, heard: map[ident.RouterID]loadReport{}}
 }
 
 // hear takes in the sum of a follower and those who follow it.
-func (l *loads) hear(now time.Time, from ident.RouterID, work pending) {
+func (l *loads) hear(now time.Time, from ident.RouterID, waiting route.Waiting) {
 	if from == "" {
 		return
 	}
 	l.lock.Lock()
 	defer l.lock.Unlock()
-	l.heard[from] = loadReport{work: work, at: now}
+	l.heard[from] = loadReport{waiting: waiting, at: now}
 }
 
 // sum gives this router's own work and that of its followers.
-func (l *loads) sum(now time.Time) pending {
+func (l *loads) sum(now time.Time) route.Waiting {
 	l.lock.Lock()
 	defer l.lock.Unlock()
 	l.sent = l.own()
-	sum := make(pending, len(l.sent))
-	for id, ms := range l.sent {
-		sum[id] += ms
-	}
+	sum := make(route.Waiting, len(l.sent))
+	addAll(sum, l.sent)
 	for from, r := range l.heard {
 		if now.Sub(r.at) > loadLifetime {
 			delete(l.heard, from)
 			continue
 		}
-		for id, ms := range r.work {
-			sum[id] += ms
-		}
+		addAll(sum, r.waiting)
 	}
 	return sum
 }
 
+func addAll(sum, more route.Waiting) {
+	for id, piles := range more {
+		for model, p := range piles {
+			sum.Add(id, model, p)
+		}
+	}
+}
+
 // setTotal takes in the work of all routers.
-func (l *loads) setTotal(now time.Time, total pending) {
+func (l *loads) setTotal(now time.Time, total route.Waiting) {
 	l.lock.Lock()
 	defer l.lock.Unlock()
 	l.total, l.at = total, now
 }
 
 // getTotal gives the work of all routers, as far as it is known.
-func (l *loads) getTotal(now time.Time) pending {
+func (l *loads) getTotal(now time.Time) route.Waiting {
 	l.lock.Lock()
 	defer l.lock.Unlock()
 	if now.Sub(l.at) > loadLifetime {
@@ -83,27 +97,134 @@
 	return l.total
 }
 
-// others gives the work that other routers have sent to an endpoint. It shrinks
-// as the endpoint works on it.
-func (l *loads) others(now time.Time, id ident.EndpointID) time.Duration {
+// others gives what other routers have sent to an endpoint. It shrinks as the
+// endpoint works on it.
+func (l *loads) others(now time.Time, id ident.EndpointID) route.Piles {
 	l.lock.Lock()
 	defer l.lock.Unlock()
 	age := now.Sub(l.at)
-	if age > loadLifetime {
-		return 0
+	if age > loadLifetime || len(l.total[id]) == 0 {
+		return nil
+	}
+	left := maps.Clone(l.total[id])
+	for model, p := range l.sent[id] {
+		left[model] = left[model].Minus(p)
 	}
-	return max(0, time.Duration(l.total[id]-l.sent[id])*time.Millisecond-age)
+	all := left.Work()
+	if all <= age {
+		return nil
+	}
+	part := 1 - float64(age)/float64(all)
+	for model, p := range left {
+		p.Work = time.Duration(float64(p.Work) * part)
+		left[model] = p
+	}
+	return left
 }
 
-// Others gives the work that other routers have sent to an endpoint and that
-// has not answered yet.
-func (t *Steer) Others(now time.Time, id ident.EndpointID) time.Duration {
+// Others gives what other routers have sent to an endpoint and what has not
+// answered yet.
+func (t *Steer) Others(now time.Time, id ident.EndpointID) route.Piles {
 	return t.loads.others(now, id)
 }
 
-// Measure sets how this router's own waiting work is measured.
-func (t *Steer) Measure(own func() map[ident.EndpointID]int64) {
+// Share sets how this router's own waiting work is measured, and who is told
+// which shared parts of prompts other routers have sent to an endpoint.
+func (t *Steer) Share(own func() route.Waiting, heard func(ident.EndpointID, []uint64)) {
 	t.loads.lock.Lock()
-	defer t.loads.lock.Unlock()
 	t.loads.own = own
+	t.loads.lock.Unlock()
+	t.reads.listen(heard)
+}
+
+// loadPause is the pause between reports of load.
+func (t *Steer) loadPause() time.Duration {
+	return loadEvery + time.Duration(t.View().Count)*loadEach
+}
+
+// spreadLoad tells followers of the load, until ctx ends.
+func (t *Steer) spreadLoad(ctx context.Context) {
+	var mark uint64
+	var idle bool
+	for ctx.Err() == nil {
+		sleep(ctx, t.loadPause())
+		if !t.hub.Followed() {
+			continue
+		}
+		now := t.clock()
+		total := t.loads.getTotal(now)
+		if t.first.Load() {
+			total = t.loads.sum(now)
+			t.loads.setTotal(now, total)
+		}
+		load := packLoad(total, t.reads.since(now, false, &mark))
+		if load == nil && idle {
+			continue
+		}
+		idle = load == nil
+		if idle {
+			load = &feed.Load{}
+		}
+		if err := t.hub.Publish(feed.Frame{Load: load}); err != nil {
+			t.log.Error("followers not told", zap.Error(err))
+		}
+	}
+}
+
+// reportLoad tells the router that is followed of the load, until ctx ends or
+// the link breaks.
+func (t *Steer) reportLoad(ctx context.Context, stream *feed.Link) {
+	var mark uint64
+	var idle bool
+	for ctx.Err() == nil {
+		sleep(ctx, t.loadPause())
+		now := t.clock()
+		load := packLoad(t.loads.sum(now), t.reads.since(now, true, &mark))
+		if load == nil && idle {
+			continue
+		}
+		idle = load == nil
+		if idle {
+			load = &feed.Load{}
+		}
+		if stream.Send(feed.Frame{From: t.settings.Router, Load: load}) != nil {
+			return // the receiver sees that the link is broken
+		}
+	}
+}
+
+// packLoad gives the load as it is passed on, nil if there is none.
+func packLoad(waiting route.Waiting, read map[ident.EndpointID][]uint64) *feed.Load {
+	if len(waiting) == 0 && len(read) == 0 {
+		return nil
+	}
+	load := &feed.Load{Read: read, Waiting: make(map[ident.EndpointID][]int64, len(waiting))}
+	places := map[ident.ModelID]int64{}
+	for id, piles := range waiting {
+		for model, p := range piles {
+			place, known := places[model]
+			if !known {
+				place = int64(len(load.Models))
+				places[model] = place
+				load.Models = append(load.Models, model)
+			}
+			load.Waiting[id] = append(load.Waiting[id], place, int64(p.Count), p.Work.Milliseconds())
+		}
+	}
+	return load
+}
+
+// unpackLoad reads what packLoad gave. Entries that make no sense are left out.
+func unpackLoad(load *feed.Load) route.Waiting {
+	waiting := make(route.Waiting, len(load.Waiting))
+	for id, numbers := range load.Waiting {
+		for ; len(numbers) >= 3; numbers = numbers[3:] {
+			if place := numbers[0]; place >= 0 && place < int64(len(load.Models)) {
+				waiting.Add(id, load.Models[place], route.Pile{
+					Count: int(numbers[1]), Work: time.Duration(numbers[2]) * time.Millisecond,
+				})
+			}
+		}
+	}
+	return waiting
 }
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -84,6 +84,7 @@
 	watchers map[plat.Key]*watcher
 	outage   *outage
 	loads    *loads
+	reads    *reads
 	pins     *pins
 	kept     *kept
 	toldKept uint64 // up to which followers were told of sessions kept
@@ -113,7 +114,7 @@
 	t := &Steer{
 		settings: s, kinds: kinds, store: store, log: log, clock: clock,
 		gate: newGate(), roster: feed.NewRoster(feed.Peer{Router: s.Router, Address: s.Feed, Power: s.Power}),
-		pins: pins, loads: newLoads(), kept: newKept(), world: w, odd: map[plat.Key]plat.Version{}, trials: newTrials(s, clock()),
+		pins: pins, loads: newLoads(), reads: newReads(), kept: newKept(), world: w, odd: map[plat.Key]plat.Version{}, trials: newTrials(s, clock()),
 	}
 	t.count.Store(routersUnknown)
 	t.hub = feed.NewHub(t)
@@ -162,6 +163,7 @@
 	}
 	group.Go(func() { t.govern(ctx) })
 	group.Go(func() { t.tend(ctx) })
+	group.Go(func() { t.spreadLoad(ctx) })
 	group.Wait()
 }
 
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -370,6 +370,39 @@
 		Eventually(r.count, "5s").Should(Equal(3))
 	})
 
+	// The load: long prompts that many routers send to few endpoints, whose
+	// queues none of them sees.
+	It("tells every router what the others have sent, and where prompts were read", func() {
+		s := sound()
+		routers := begin(s, 5)
+		var lock sync.Mutex
+		heard := make([]map[ident.EndpointID][]uint64, len(routers))
+		for i, r := range routers {
+			heard[i] = map[ident.EndpointID][]uint64{}
+			r.Share(func() route.Waiting {
+				w := route.Waiting{}
+				w.Add("e0", "m", route.Pile{Count: 1, Work: 2 * time.Second})
+				return w
+			}, func(id ident.EndpointID, chain []uint64) {
+				lock.Lock()
+				defer lock.Unlock()
+				heard[i][id] = append(heard[i][id], chain...)
+			})
+		}
+		for i, r := range routers {
+			Eventually(func() int { return r.Others(time.Now(), "e0")["m"].Count }, "8s").Should(Equal(len(routers) - 1))
+			r.Reads(time.Now(), "e1", []uint64{uint64(i)}, []route.Part{{ID: "p", Tokens: 5000}})
+			r.Reads(time.Now(), "e1", []uint64{99}, []route.Part{{ID: "p", Tokens: 5}})
+		}
+		for i := range routers {
+			Eventually(func() []uint64 {
+				lock.Lock()
+				defer lock.Unlock()
+				return heard[i]["e1"]
+			}, "3s").Should(And(HaveLen(len(routers)-1), Not(ContainElement(uint64(i))), Not(ContainElement(uint64(99)))))
+		}
+	})
+
 	Describe("a roll-out", func() {
 		observe := func(r *router, version ident.VersionID, failed bool, n int) {
 			for _, e := range r.View().Endpoints("s") {
