--- a/internal/cmd/app.go
+++ b/internal/cmd/app.go
@@ -48,6 +48,8 @@
 	Zone     Zone     `cmd:"" help:"Take an availability zone out, or put it back."`
 	Bills    Bills    `cmd:"" help:"Add up the bills in the journal."`
 	Keys     Keys     `cmd:"" help:"Make and hash teams' API keys."`
+	Trace    Trace    `cmd:"" help:"Show the course of one request from routers' logs."`
+	Causes   Causes   `cmd:"" help:"Sum up from routers' logs why requests failed."`
 }
 
 // App runs commands.
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -444,6 +444,34 @@
 			}
 		})
 
+		// The load: a version that is slow has a queue of its own, so that its late
+		// answers are foreseen.
+		It("is undone if it is slow, also where its queue is known", func() {
+			s := sound()
+			s.set("e/new", world.Endpoint{Service: "s", Address: "a:2", Zone: "z", Version: "v2", Slots: 4})
+			r := begin(s, 1)[0]
+			Eventually(func() bool { return r.View().Ready }, "5s").Should(BeTrue())
+			timed := func(version ident.VersionID, first, foreseen time.Duration, n int) {
+				for _, e := range r.View().Endpoints("s") {
+					if e.Version == version {
+						for range n {
+							r.Observe(time.Now(), "route", ident.SessionKey{}, pass.Report{
+								Endpoint: e, Outcome: route.OutcomeDone, First: first, Work: 50 * time.Millisecond, Base: foreseen,
+							})
+						}
+						return
+					}
+				}
+			}
+			s.set("r/s", wireRollout{Target: "v2"})
+			Eventually(func() world.Stage { return r.View().Rollouts["s"].Stage }, "5s").Should(Equal(world.StageTrial))
+			timed("v1", 50*time.Millisecond, 50*time.Millisecond, 40)
+			time.Sleep(1300 * time.Millisecond)
+			timed("v1", 50*time.Millisecond, 50*time.Millisecond, 1)
+			timed("v2", 400*time.Millisecond, 400*time.Millisecond, 10)
+			Eventually(func() world.Stage { return r.View().Rollouts["s"].Stage }, "5s").Should(Equal(world.StageUndone))
+		})
+
 		It("gets sessions that begin, and leaves those in use on their version at every router", func() {
 			s := sound()
 			s.set("e/new", world.Endpoint{Service: "s", Address: "a:2", Zone: "z", Version: "v2", Slots: 4})
--- a/internal/steer/trial.go
+++ b/internal/steer/trial.go
@@ -151,7 +151,7 @@
 	if report.Failed {
 		tally.Failed = 1
 	}
-	ratio := inProportion(max(report.First, report.Took), report.Base)
+	ratio := inProportion(max(report.First, report.Took), report.Work)
 	if slow, known := t.trials.usual.Slow(kind, ratio); known && ratio > 0 {
 		tally.Timed = 1
 		if slow {
@@ -205,14 +205,15 @@
 // slice gives the slice of a roll-out's evidence in which a time falls.
 func slice(now time.Time, r world.Rollout) int { return int(max(0, now.Sub(r.Seen)) / sliceTime) }
 
-// inProportion puts the time to a first event in proportion to the one that
-// was foreseen, so that long prompts and queues do not hide a slow version. It
-// gives 0 if there is nothing to compare.
-func inProportion(first, foreseen time.Duration) float64 {
-	if first <= 0 || foreseen <= 0 {
+// inProportion puts the time to a first event in proportion to the work that was
+// foreseen, so that long prompts do not hide a slow version. What waits at an
+// endpoint is left out: a slow version makes its own queue. It gives 0 if there
+// is nothing to compare.
+func inProportion(first, work time.Duration) float64 {
+	if first <= 0 || work <= 0 {
 		return 0
 	}
-	return float64(first) / float64(foreseen)
+	return float64(first) / float64(work)
 }
 
 // orderOf names the evidence on one roll-out apart from that on earlier ones.
