Read other kinds of objects only after the store has answered the first

Cause: while the store has no news for anybody, every router began to read all five kinds at once. Now the endpoints' kind is asked first.

--- a/internal/steer/follow.go
+++ b/internal/steer/follow.go
@@ -147,7 +147,11 @@
 		// A router that knows nothing yet waits for a link just opened.
 		waits := !fresh && current != nil && !t.View().Ready && !t.hub.Followed() && !plan.Reader &&
 			now.Sub(began) < t.startWait()
-		if read := plan.Read && !waits; t.gate.set(read) {
+		read := plan.Read && !waits
+		if read && !t.gate.isOpen() {
+			t.outage.begin(now)
+		}
+		if t.gate.set(read) {
 			t.log.Info("reading", zap.Bool("store", read), zap.String("follow", string(plan.Follow.Router)), zap.Bool("fresh", fresh))
 		}
 		if err := t.hub.Beat(); err != nil {
--- a/internal/steer/gate.go
+++ b/internal/steer/gate.go
@@ -30,6 +30,13 @@
 	return true
 }
 
+// isOpen tells whether goroutines may pass.
+func (g *gate) isOpen() bool {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	return g.open
+}
+
 // wait waits until the gate is open, and tells whether ctx still runs.
 func (g *gate) wait(ctx context.Context) bool {
 	g.lock.Lock()
--- a/internal/steer/watch.go
+++ b/internal/steer/watch.go
@@ -22,6 +22,8 @@
 	retryFollower = 2 * time.Second
 	// outagePoll is the pause between looks whether an outage is over.
 	outagePoll = 200 * time.Millisecond
+	// beginPoll is the pause between looks whether the first call was answered.
+	beginPoll = 10 * time.Millisecond
 )
 
 // outage tells whether the store answers, as one kind's watcher finds; the
@@ -31,15 +33,27 @@
 	lost   atomic.Bool
 	reader atomic.Bool  // this router reads for others
 	last   atomic.Int64 // when the probe was last answered, in Unix nanoseconds
+	begun  atomic.Int64 // when this router last began to read
 }
 
-// wait holds a kind's watcher back while another one probes.
+// wait holds a kind's watcher back while another one probes: after a failed
+// call, and when this router begins to read, since the store may then have no
+// news for anybody.
 func (o *outage) wait(ctx context.Context, kind plat.Key) {
-	for kind != o.probe && o.lost.Load() && ctx.Err() == nil {
+	if kind == o.probe {
+		return
+	}
+	for o.last.Load() < o.begun.Load() && !o.lost.Load() && ctx.Err() == nil {
+		sleep(ctx, beginPoll)
+	}
+	for o.lost.Load() && ctx.Err() == nil {
 		sleep(ctx, outagePoll)
 	}
 }
 
+// begin notes that this router begins to read.
+func (o *outage) begin(now time.Time) { o.begun.Store(now.UnixNano()) }
+
 // longest is the longest pause between failed calls.
 func (o *outage) longest() time.Duration {
 	if o.reader.Load() {
@@ -101,6 +115,9 @@
 	pause := retryFirst
 	for w.gate.wait(ctx) {
 		w.outage.wait(ctx, w.kind)
+		if !w.gate.isOpen() {
+			continue // another router has news again
+		}
 		began := w.clock()
 		err := w.call(ctx)
 		w.outage.told(w.clock(), w.kind, err != nil && !errors.Is(err, plat.ErrCompacted))
