Charge a larger model's answer more for the wait of others; forget roll-outs that are over

Cause: at the worst load a larger model was asked for answers whose prompt held up all others at its endpoint.

--- a/internal/pass/cascade.go
+++ b/internal/pass/cascade.go
@@ -8,7 +8,7 @@
 	askingPrice = 0.2
 	// crowdPrice is what the work costs the requests that wait behind it, for
 	// each objective's length of waiting that is foreseen.
-	crowdPrice = 0.5
+	crowdPrice = 1.0
 	// workPrice is what the work itself costs, for each objective's length of
 	// it, once others wait as long as busyWait, a part of the objective.
 	workPrice = 1.0
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -29,6 +29,7 @@
 	machine   *pass.Course
 	exchanges []*exchange
 	placed    []placement
+	opened    pass.Attempt // that began a stream's answer
 	events    chan pass.Event
 	done      chan struct{}
 	timer     *time.Timer
@@ -184,7 +185,7 @@
 				zap.String("endpoint", string(c.placed[x.Attempt].endpoint)), zap.Duration("after", x.Head.After))
 		}
 	case pass.Ended:
-		if p := c.placed[x.Attempt]; c.placed[0].model == p.model || len(c.placed) == 2 {
+		if p := c.placed[x.Attempt]; x.Attempt == c.opened { // else a part of the answer came from elsewhere
 			c.server.tempo.Written(p.model, c.request.Output, c.server.clock().Sub(p.first))
 		}
 	case pass.Broken:
--- a/internal/relay/write.go
+++ b/internal/relay/write.go
@@ -12,7 +12,7 @@
 
 // open sends the head of a stream.
 func (c *call) open(o pass.Open) {
-	c.first = c.server.clock().Sub(c.arrived)
+	c.first, c.opened = c.server.clock().Sub(c.arrived), o.Attempt
 	r := c.exchanges[o.Attempt].response
 	c.log("opened", zap.Int("attempt", int(o.Attempt)), zap.Duration("next", c.next),
 		zap.Int("confidence", c.server.dialect.Head(r.StatusCode, r.Header).Confidence))
--- a/internal/steer/trial.go
+++ b/internal/steer/trial.go
@@ -202,6 +202,12 @@
 	clear(t.held)
 }
 
+// forget drops what is known of a roll-out that is over.
+func (t *trials) forget(id orderID) {
+	delete(t.quotas, id)
+	t.evidence.Retain(func(order string) bool { return order != string(id) })
+}
+
 // slice gives the slice of a roll-out's evidence in which a time falls.
 func slice(now time.Time, r world.Rollout) int { return int(max(0, now.Sub(r.Seen)) / sliceTime) }
 
@@ -227,6 +233,9 @@
 	}
 	for _, r := range v.Rollouts {
 		if !r.Open() {
+			t.lock.Lock()
+			t.trials.forget(orderOf(r))
+			t.lock.Unlock()
 			continue
 		}
 		t.lock.Lock()
