--- a/internal/steer/trial.go
+++ b/internal/steer/trial.go
@@ -140,31 +140,16 @@
 	if report.Outcome != route.OutcomeDone && report.Outcome != route.OutcomeFailed || e.Cold(now) {
 		return
 	}
-	v := t.View()
-	r, ok := v.Rollouts[e.Service]
+	r, ok := t.View().Rollouts[e.Service]
 	open := ok && r.Open()
-	if open && session.Session != "" && e.Version != r.Target {
-		t.hold(r, session, now)
-	}
-	kind := string(id) + "/" + string(report.Model)
-	tally := roll.Tally{Answers: 1}
-	if report.Failed {
-		tally.Failed = 1
-	}
-	ratio := inProportion(max(report.First, report.Took), report.Work)
-	if slow, known := t.trials.usual.Slow(kind, ratio); known && ratio > 0 {
-		tally.Timed = 1
-		if slow {
-			tally.Slow = 1
-		}
-	}
 	old := !open || e.Version != r.Target
-	if old && ratio > 0 {
-		t.trials.usual.Add(kind, ratio)
-	}
+	tally := t.trials.tally(id, report, old)
 	if !open {
 		return
 	}
+	if session.Session != "" && old {
+		t.hold(r, session, now)
+	}
 	key := roll.BriefKey{Order: string(orderOf(r)), Version: e.Version, Group: roll.Group(id), Slice: slice(now, r)}
 	t.lock.Lock()
 	defer t.lock.Unlock()
@@ -180,6 +165,29 @@
 	t.trials.count(now, key, tally, old)
 }
 
+// tally counts one answer. What is usual is learned from old versions.
+func (t *trials) tally(id paths.RouteID, report pass.Report, old bool) roll.Tally {
+	tally := roll.Tally{Answers: 1}
+	if report.Failed {
+		tally.Failed = 1
+	}
+	ratio := inProportion(max(report.First, report.Took), report.Work)
+	if ratio == 0 {
+		return tally
+	}
+	kind := string(id) + "/" + string(report.Model)
+	if slow, known := t.usual.Slow(kind, ratio); known {
+		tally.Timed = 1
+		if slow {
+			tally.Slow = 1
+		}
+	}
+	if old {
+		t.usual.Add(kind, ratio)
+	}
+	return tally
+}
+
 // count takes answers in. Those of an old version are gathered for a while.
 func (t *trials) count(now time.Time, key roll.BriefKey, tally roll.Tally, old bool) {
 	if !old {
