Log the shared parts of a prompt whose run broke, and whether its answer had begun

The lines of the users' incident do not tell requests that share a part of their prompts from requests that a loaded endpoint takes down with it. No decision changes.

--- a/internal/poison/run_table.go
+++ b/internal/poison/run_table.go
@@ -16,9 +16,11 @@
 // RunEnd is the end of a run of a request at an endpoint.
 type RunEnd struct {
 	Fingerprint ident.Fingerprint
+	Parts       []string // ids of the parts of its prompt that other requests may share
 	Incarnation Incarnation
 	Started     time.Time
-	Broke       bool // the connection ended before the answer did
+	Began       time.Time // when its answer began, zero if it did not
+	Broke       bool      // the connection ended before the answer did
 }
 
 // RunTable decides which requests are not run again since endpoints ended while
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -257,11 +257,24 @@
 		return
 	}
 	c.server.control.ObserveRun(now, poison.RunEnd{
-		Fingerprint: c.fingerprint, Started: r.Started, Broke: r.Disconnected,
+		Fingerprint: c.fingerprint, Parts: c.sharedParts(), Started: r.Started, Began: c.exchanges[r.Attempt].began, Broke: r.Disconnected,
 		Incarnation: poison.Incarnation{Endpoint: r.Endpoint.ID, BootID: strconv.FormatInt(r.Endpoint.StartedMillis, 10)},
 	})
 }
 
+// sharedParts returns the ids of the parts of the prompt that other requests may
+// share, all but the last.
+func (c *call) sharedParts() []string {
+	if len(c.request.Parts) < 2 {
+		return nil
+	}
+	ids := make([]string, len(c.request.Parts)-1)
+	for i := range ids {
+		ids[i] = c.request.Parts[i].ID
+	}
+	return ids
+}
+
 // scheduleWake adds a time at which the state machine must be woken.
 func (c *call) scheduleWake(at time.Time) {
 	i := len(c.wakeTimes)
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -41,6 +41,7 @@
 	mustNotRepeat bool // the request must not run twice
 	cancel        context.CancelFunc
 	response      *http.Response // set before HeadReceived or ResponseReceived is sent
+	began         time.Time      // when the head of the response came, set before the event that follows
 	responseBody  []byte         // set before ResponseReceived is sent
 	cause         error          // set before AttemptFailed is sent
 	started       time.Time
@@ -68,7 +69,7 @@
 		emit(proxy.AttemptFailed{Attempt: x.attempt, Sent: true})
 		return
 	}
-	x.response = r
+	x.response, x.began = r, pool.clock()
 	var last proxy.Event
 	if isStream(r) {
 		emit(proxy.HeadReceived{Attempt: x.attempt, Head: codec.ParseResponse(r.StatusCode, r.Header)})
--- a/internal/syncer/crashes.go
+++ b/internal/syncer/crashes.go
@@ -20,7 +20,7 @@
 	c.lock.Unlock()
 	if r.Broke {
 		c.log.Info("run broke", zap.Uint64("fingerprint", uint64(r.Fingerprint)), zap.String("endpoint", string(r.Incarnation.Endpoint)),
-			zap.String("boot", r.Incarnation.BootID), zap.Int("crashes", crashes))
+			zap.String("boot", r.Incarnation.BootID), zap.Int("crashes", crashes), zap.Bool("began", !r.Began.IsZero()), zap.Strings("parts", r.Parts))
 	}
 }
 
