Do not clear a request by an answer that was dropped for a larger model's

Callers saw a request go on crashing endpoints after three of them: the smaller model answers first, its answer is dropped before the endpoint ends, and the table took that for a run that ended well.

Cause: a report of an attempt told that an answer had begun, not that it was whole. Now it tells both, and only a whole answer clears the request; that the endpoint lives is still taken from either.

The new spec fails without the change (the request is not refused).

--- a/internal/poison/run_table.go
+++ b/internal/poison/run_table.go
@@ -21,6 +21,7 @@
 	Started     time.Time
 	Began       time.Time // when its answer began, zero if it did not
 	Broke       bool      // the connection ended before the answer did
+	Complete    bool      // the answer came whole
 }
 
 // RunTable decides which requests are not run again since endpoints ended while
@@ -44,7 +45,9 @@
 	if at, crashed := t.crashes.crashTime(r.Incarnation); crashed && r.Started.After(at) {
 		t.crashes.clearIncarnation(now, r.Incarnation)
 	}
-	t.crashes.Clear(now, r.Fingerprint, t.crashes.UnclearedCrashes(now, r.Fingerprint))
+	if r.Complete {
+		t.crashes.Clear(now, r.Fingerprint, t.crashes.UnclearedCrashes(now, r.Fingerprint))
+	}
 }
 
 // CrashCount returns the number of endpoints that count as crashed by a request.
--- a/internal/poison/run_table_test.go
+++ b/internal/poison/run_table_test.go
@@ -19,7 +19,7 @@
 
 func runEnd(f ident.Fingerprint, endpoint int, seconds float64, broke bool) poison.RunEnd {
 	incarnation := poison.Incarnation{Endpoint: ident.EndpointID(fmt.Sprint("e", endpoint)), BootID: "1"}
-	return poison.RunEnd{Fingerprint: f, Incarnation: incarnation, Started: runAt(seconds), Broke: broke}
+	return poison.RunEnd{Fingerprint: f, Incarnation: incarnation, Started: runAt(seconds), Broke: broke, Complete: !broke}
 }
 
 func TestRunTableRefusesAfterThreeCrashes(t *testing.T) {
@@ -47,6 +47,20 @@
 	g.Expect(table.CrashCount(runAt(3), 7)).To(Equal(1))
 }
 
+// Guards against a request that crashes endpoints after its first model's answer has
+// begun, and was dropped for a larger model's.
+func TestRunTableDoesNotClearARequestWhoseAnswerWasDropped(t *testing.T) {
+	g := NewWithT(t)
+	table := poison.NewRunTable(time.Minute)
+	for i := range 3 {
+		table.Observe(runAt(1), runEnd(7, i, 0, true))
+		dropped := runEnd(7, 9, 0.5, false)
+		dropped.Complete = false
+		table.Observe(runAt(1.1), dropped)
+	}
+	g.Expect(table.Refused(runAt(2), 7)).To(BeTrue())
+}
+
 // Guards against taking a cut link for the end of the endpoints behind it.
 func TestRunTableClearsTheRequestsOfAnEndpointThatLives(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/proxy/response.go
+++ b/internal/proxy/response.go
@@ -24,7 +24,7 @@
 	m.mayHaveRun = true
 	a.firstLatency = now.Sub(a.started)
 	failed := h.Status >= http.StatusInternalServerError
-	actions := m.finishAttempt(e.Attempt, outcomeOf(failed), failed)
+	actions := completed(m.finishAttempt(e.Attempt, outcomeOf(failed), failed))
 	if failed && m.mayRetry(now) {
 		return append(actions, m.retryWithinBudget(now)...)
 	}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -89,5 +89,5 @@
 		return nil
 	}
 	m.done = true
-	return append(m.finishAttempt(e.Attempt, route.OutcomeDone, false), CloseStream{})
+	return append(completed(m.finishAttempt(e.Attempt, route.OutcomeDone, false)), CloseStream{})
 }
--- a/internal/proxy/termination.go
+++ b/internal/proxy/termination.go
@@ -80,6 +80,14 @@
 	}}
 }
 
+// completed marks the report of an attempt as that of a whole response.
+func completed(actions []Action) []Action {
+	report := actions[0].(Report)
+	report.Complete = true
+	actions[0] = report
+	return actions
+}
+
 // cancelAttempt cancels an attempt and reports it.
 func (m *Machine) cancelAttempt(n Attempt, outcome route.Outcome, failed bool) []Action {
 	return append([]Action{Cancel{Attempt: n}}, m.finishAttempt(n, outcome, failed)...)
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -257,7 +257,7 @@
 		return
 	}
 	c.server.control.ObserveRun(now, poison.RunEnd{
-		Fingerprint: c.fingerprint, Parts: c.sharedParts(), Started: r.Started, Began: c.exchanges[r.Attempt].began, Broke: r.Disconnected,
+		Fingerprint: c.fingerprint, Parts: c.sharedParts(), Started: r.Started, Began: c.exchanges[r.Attempt].began, Broke: r.Disconnected, Complete: r.Complete,
 		Incarnation: poison.Incarnation{Endpoint: r.Endpoint.ID, BootID: strconv.FormatInt(r.Endpoint.StartedMillis, 10)},
 	})
 }
--- a/internal/syncer/controller_test.go
+++ b/internal/syncer/controller_test.go
@@ -680,7 +680,7 @@
 			Eventually(func() bool { return r.IsFatal(time.Now(), 7) }, "3s").Should(BeTrue())
 			Expect(r.IsFatal(time.Now(), 8)).To(BeFalse())
 		}
-		routers[3].ObserveRun(time.Now(), poison.RunEnd{Fingerprint: 7, Incarnation: poison.Incarnation{Endpoint: "e9"}, Started: time.Now()})
+		routers[3].ObserveRun(time.Now(), poison.RunEnd{Fingerprint: 7, Incarnation: poison.Incarnation{Endpoint: "e9"}, Started: time.Now(), Complete: true})
 		for _, r := range routers {
 			Eventually(func() bool { return r.IsFatal(time.Now(), 7) }, "3s").Should(BeFalse())
 		}
