--- a/internal/feed/frame.go
+++ b/internal/feed/frame.go
@@ -89,10 +89,12 @@
 	// Evidence holds tallies on versions, in the encoding of package syncer.
 	Evidence []json.RawMessage `json:"evidence,omitempty"`
 	// Crashes holds the requests that ran while endpoints ended.
-	Crashes *poison.Delta         `json:"crashes,omitempty"`
-	Limits  []route.EndpointLimit `json:"limits,omitempty"`
-	Pinned  []PinnedSession       `json:"kept,omitempty"`
-	Load    *Load                 `json:"load,omitempty"`
+	Crashes *poison.Delta `json:"crashes,omitempty"`
+	// Parts holds the parts of the prompts of these requests.
+	Parts  []poison.PartCrash    `json:"parts,omitempty"`
+	Limits []route.EndpointLimit `json:"limits,omitempty"`
+	Pinned []PinnedSession       `json:"kept,omitempty"`
+	Load   *Load                 `json:"load,omitempty"`
 }
 
 // Confirmation identifies an answer of the store by which data was current. It stays
--- /dev/null
+++ b/internal/poison/part_table.go
@@ -0,0 +1,248 @@
+package poison
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	lru "github.com/hashicorp/golang-lru/v2"
+
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+const (
+	maxAnsweredParts = 8192 // parts whose latest answer is kept
+	maxPartSuspects  = 256  // suspects kept per crash
+	// maxWaitingSuspects is the number of suspects that one router adds to a crash
+	// while no answer is known that had begun.
+	maxWaitingSuspects = 16
+)
+
+// PartFingerprint returns the hash of a part of the prompts to a service.
+func PartFingerprint(service ident.ServiceID, part string) ident.Fingerprint {
+	h := xxhash.New()
+	_, _ = h.WriteString(string(service)) // never fails
+	_, _ = h.Write([]byte{0})
+	_, _ = h.WriteString(part)
+	return ident.Fingerprint(h.Sum64())
+}
+
+// PartSuspect is a part of the prompt of a request that ran on an endpoint when that
+// crashed.
+type PartSuspect struct {
+	Part    ident.Fingerprint `json:"part"`
+	Request ident.Fingerprint `json:"request"`
+	Began   bool              `json:"began"` // the endpoint had begun to answer the request
+	Age     time.Duration     `json:"age"`   // from the beginning of the answer, or of the run, to the report
+	// Answered reports that some router had a whole answer to a prompt with the part
+	// before.
+	Answered bool `json:"answered,omitempty"`
+	// Cleared reports that the part did not cause the crash.
+	Cleared bool `json:"cleared,omitempty"`
+}
+
+// PartCrash is a crash with the parts that may have caused it. Several routers may
+// report the same crash, each with its own suspects.
+type PartCrash struct {
+	Incarnation Incarnation   `json:"boot"`
+	Age         time.Duration `json:"age"` // from the crash to the report
+	Suspects    []PartSuspect `json:"suspects"`
+}
+
+// PartTable decides which parts of prompts are refused since endpoints crashed while
+// they began to answer prompts with them. It answers requests that share a part which
+// crashes endpoints, but no more than that, and come at any router among sound requests
+// that share their other parts.
+//
+// Tables are merged by adding crashes and suspects and by setting Answered and Cleared,
+// in any order and any number of times. A PartTable is not safe for concurrent use.
+type PartTable struct {
+	lifetime time.Duration
+	revision Revision
+	crashes  map[Incarnation]*partCrash
+	answered *lru.Cache[ident.Fingerprint, time.Time] // latest whole answer at this router
+	verdict  partVerdict
+	decided  Revision // as of which verdict was made
+}
+
+type partCrash struct {
+	at       time.Time // by this router's clock
+	revision Revision  // of the latest change
+	suspects partSuspects
+}
+
+type partSuspects map[suspectKey]*partSuspect
+
+type suspectKey struct{ part, request ident.Fingerprint }
+
+type partSuspect struct {
+	since             time.Time // when the answer, or the run if none had begun, began
+	began             bool
+	answered, cleared bool
+}
+
+// NewPartTable returns an empty table that keeps crashes for lifetime.
+func NewPartTable(lifetime time.Duration) *PartTable {
+	answered, err := lru.New[ident.Fingerprint, time.Time](maxAnsweredParts)
+	if err != nil {
+		panic(err) // the size is a positive constant
+	}
+	return &PartTable{lifetime: lifetime, crashes: map[Incarnation]*partCrash{}, answered: answered}
+}
+
+// Observe records the end of a run.
+func (t *PartTable) Observe(now time.Time, r RunEnd) {
+	if r.Broke {
+		t.add(now, ownCrash(now, r))
+		return
+	}
+	if x := t.crashes[r.Incarnation]; x != nil && r.Started.After(x.at) {
+		t.clear(x, func(suspectKey) bool { return true }) // the endpoint lives
+	}
+	if !r.Complete {
+		return
+	}
+	for _, part := range r.partFingerprints() {
+		t.answered.Add(part, now)
+		for _, x := range t.crashes {
+			t.clear(x, func(k suspectKey) bool { return k.part == part })
+		}
+	}
+}
+
+// ownCrash returns the crash that a run of this router broke at.
+func ownCrash(now time.Time, r RunEnd) PartCrash {
+	since := r.Began
+	if since.IsZero() {
+		since = r.Started
+	}
+	c := PartCrash{Incarnation: r.Incarnation}
+	for _, part := range r.partFingerprints() {
+		c.Suspects = append(c.Suspects, PartSuspect{Part: part, Request: r.Fingerprint, Began: !r.Began.IsZero(), Age: now.Sub(since)})
+	}
+	return c
+}
+
+// clear clears the suspects of a crash that match.
+func (t *PartTable) clear(x *partCrash, match func(suspectKey) bool) {
+	changed := false
+	for k, s := range x.suspects {
+		if !s.cleared && match(k) {
+			s.cleared, changed = true, true
+		}
+	}
+	t.markChanged(x, changed)
+}
+
+func (t *PartTable) markChanged(x *partCrash, changed bool) {
+	if changed {
+		t.revision++
+		x.revision = t.revision
+	}
+}
+
+// add adds a crash, or the suspects that are new to a known one.
+func (t *PartTable) add(now time.Time, c PartCrash) {
+	t.expire(now)
+	if len(c.Suspects) == 0 || c.Age >= t.lifetime {
+		return
+	}
+	x := t.crashes[c.Incarnation]
+	if x == nil {
+		x = &partCrash{at: now.Add(-c.Age), suspects: partSuspects{}}
+		t.crashes[c.Incarnation] = x
+	}
+	changed := false
+	for _, s := range c.Suspects {
+		changed = t.addSuspect(now, x, s) || changed
+	}
+	t.markChanged(x, changed)
+	t.evictOldest()
+}
+
+// addSuspect adds a suspect to a crash, or what is new of a known one. It reports
+// whether anything was.
+func (t *PartTable) addSuspect(now time.Time, x *partCrash, s PartSuspect) bool {
+	key := suspectKey{s.Part, s.Request}
+	at, known := t.answered.Peek(s.Part)
+	answered, cleared := s.Answered || known, s.Cleared || known && at.After(x.at)
+	old := x.suspects[key]
+	if old == nil {
+		if len(x.suspects) >= maxPartSuspects || !s.Began && x.waiting() >= maxWaitingSuspects {
+			return false
+		}
+		x.suspects[key] = &partSuspect{since: now.Add(-s.Age), began: s.Began, answered: answered, cleared: cleared}
+		return true
+	}
+	changed := answered && !old.answered || cleared && !old.cleared || s.Began && !old.began
+	if s.Began && !old.began {
+		old.began, old.since = true, now.Add(-s.Age)
+	}
+	old.answered, old.cleared = old.answered || answered, old.cleared || cleared
+	return changed
+}
+
+// waiting returns the number of suspects whose answers had not begun.
+func (x *partCrash) waiting() int {
+	n := 0
+	for _, s := range x.suspects {
+		if !s.began {
+			n++
+		}
+	}
+	return n
+}
+
+// Delta returns the crashes that changed after a revision, and the current revision.
+func (t *PartTable) Delta(now time.Time, since Revision) ([]PartCrash, Revision) {
+	t.expire(now)
+	var list []PartCrash
+	for i, x := range t.crashes {
+		if x.revision <= since {
+			continue
+		}
+		c := PartCrash{Incarnation: i, Age: now.Sub(x.at)}
+		for k, s := range x.suspects {
+			c.Suspects = append(c.Suspects, PartSuspect{
+				Part: k.part, Request: k.request, Began: s.began, Age: now.Sub(s.since), Answered: s.answered, Cleared: s.cleared,
+			})
+		}
+		sort.Slice(c.Suspects, func(i, j int) bool {
+			a, b := c.Suspects[i], c.Suspects[j]
+			return a.Part < b.Part || a.Part == b.Part && a.Request < b.Request
+		})
+		list = append(list, c)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Age > list[j].Age })
+	return list, t.revision
+}
+
+// Merge merges another router's changes.
+func (t *PartTable) Merge(now time.Time, list []PartCrash) {
+	for _, c := range list {
+		t.add(now, c)
+	}
+}
+
+// evictOldest removes the oldest crashes beyond maxCrashes.
+func (t *PartTable) evictOldest() {
+	for len(t.crashes) > maxCrashes {
+		var oldest Incarnation
+		for i, x := range t.crashes {
+			if o := t.crashes[oldest]; o == nil || x.at.Before(o.at) {
+				oldest = i
+			}
+		}
+		delete(t.crashes, oldest)
+		t.revision++
+	}
+}
+
+func (t *PartTable) expire(now time.Time) {
+	for i, x := range t.crashes {
+		if now.Sub(x.at) >= t.lifetime {
+			delete(t.crashes, i)
+			t.revision++
+		}
+	}
+}
--- /dev/null
+++ b/internal/poison/part_table_test.go
@@ -0,0 +1,183 @@
+package poison_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/marigoldscale/marigoldscale/internal/poison"
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+// partRun returns the end of a run, whose answer began 0.1 s before it broke.
+func partRun(request ident.Fingerprint, endpoint int, seconds float64, broke bool, parts ...string) poison.RunEnd {
+	r := runEnd(request, endpoint, seconds-0.2, broke)
+	r.Service, r.Parts, r.Began = "s", parts, runAt(seconds-0.1)
+	return r
+}
+
+func isRefused(t *poison.PartTable, seconds float64, part string) bool {
+	_, refused := t.RefusedPart(runAt(seconds), poison.Subject{Service: "s", Parts: []string{part}})
+	return refused
+}
+
+func observeRuns(t *poison.PartTable, runs ...poison.RunEnd) {
+	for _, r := range runs {
+		t.Observe(r.Began.Add(100*time.Millisecond), r)
+	}
+}
+
+func TestPartTableRefusesThePartThatAllCrashesShare(t *testing.T) {
+	g := NewWithT(t)
+	table := poison.NewPartTable(time.Minute)
+	observeRuns(table, partRun(1, 0, 1, true, "a", "bad"), partRun(2, 1, 2, true, "b", "bad"))
+	g.Expect(isRefused(table, 2, "bad")).To(BeFalse())
+	observeRuns(table, partRun(3, 2, 3, true, "c", "bad"))
+	for part, want := range map[string]bool{"bad": true, "a": false, "b": false, "c": false} {
+		g.Expect(isRefused(table, 3, part)).To(Equal(want), part)
+	}
+	_, other := table.RefusedPart(runAt(3), poison.Subject{Service: "other", Parts: []string{"bad"}})
+	g.Expect(other).To(BeFalse(), "at another service")
+	g.Expect(isRefused(table, 64, "bad")).To(BeFalse(), "after the crashes are forgotten")
+}
+
+// Guards against refusing the part that all requests of a route begin with, since all
+// that crash endpoints do so too.
+func TestPartTableSparesAPartThatIsAnsweredElsewhere(t *testing.T) {
+	g := NewWithT(t)
+	table := poison.NewPartTable(time.Minute)
+	observeRuns(table, partRun(9, 8, 0.5, false, "common", "sound"))
+	for i := range 5 {
+		at := float64(i + 1)
+		observeRuns(table, partRun(ident.Fingerprint(i), i, at, true, "common", "bad"))
+	}
+	g.Expect(isRefused(table, 6, "bad")).To(BeTrue())
+	g.Expect(isRefused(table, 6, "common")).To(BeFalse())
+}
+
+func TestPartTableWaitsForACrashThatTellsTwoPartsApart(t *testing.T) {
+	g := NewWithT(t)
+	table := poison.NewPartTable(time.Minute)
+	for i := range 4 {
+		observeRuns(table, partRun(ident.Fingerprint(i), i, float64(i+1), true, "a", "b"))
+	}
+	g.Expect(isRefused(table, 5, "a") || isRefused(table, 5, "b")).To(BeFalse())
+	observeRuns(table, partRun(7, 7, 6, true, "c", "b"))
+	g.Expect(isRefused(table, 6, "a")).To(BeFalse())
+	g.Expect(isRefused(table, 6, "b")).To(BeTrue())
+}
+
+func TestPartTableRefusesOneOfTwoPartsThatAlwaysCameTogether(t *testing.T) {
+	g := NewWithT(t)
+	table := poison.NewPartTable(time.Minute)
+	for i := range 5 {
+		observeRuns(table, partRun(ident.Fingerprint(i), i, float64(i+1), true, "a", "b"))
+	}
+	g.Expect(isRefused(table, 5, "a")).NotTo(Equal(isRefused(table, 5, "b")))
+}
+
+// Guards against taking the end of many endpoints at once, for a reason of their own, for
+// that of a part which all of them were answering.
+func TestPartTableRefusesNothingAfterCrashesAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	table := poison.NewPartTable(time.Minute)
+	for i := range 9 {
+		observeRuns(table, partRun(ident.Fingerprint(i), i, 1+0.005*float64(i), true, "common"))
+	}
+	g.Expect(isRefused(table, 2, "common")).To(BeFalse())
+}
+
+func TestPartTableLeavesARequestThatCrashesEndpointsAloneToTheRunTable(t *testing.T) {
+	g := NewWithT(t)
+	table := poison.NewPartTable(time.Minute)
+	for i := range 4 {
+		observeRuns(table, partRun(1, i, float64(i+1), true, "a", "b"))
+	}
+	g.Expect(isRefused(table, 5, "a") || isRefused(table, 5, "b")).To(BeFalse())
+}
+
+// Guards against suspecting what waits at an endpoint when it begins another answer.
+func TestPartTableSuspectsOnlyAnswersThatHadBegun(t *testing.T) {
+	g := NewWithT(t)
+	table := poison.NewPartTable(time.Minute)
+	for i := range 4 {
+		at := float64(i + 1)
+		waiting := partRun(ident.Fingerprint(10+i), i, at, true, "waiting")
+		waiting.Began = time.Time{}
+		table.Observe(runAt(at), waiting)
+		observeRuns(table, partRun(ident.Fingerprint(i), i, at, true, fmt.Sprint("x", i), "bad"))
+	}
+	g.Expect(isRefused(table, 5, "waiting")).To(BeFalse())
+	g.Expect(isRefused(table, 5, "bad")).To(BeTrue())
+}
+
+// Guards against an endpoint that ends before it has sent anything of its answer.
+func TestPartTableSuspectsWhatWaitedIfNoAnswerHadBegun(t *testing.T) {
+	g := NewWithT(t)
+	table := poison.NewPartTable(time.Minute)
+	for i := range 3 {
+		r := partRun(ident.Fingerprint(i), i, float64(i+1), true, fmt.Sprint("x", i), "bad")
+		r.Began = time.Time{}
+		table.Observe(runAt(float64(i+1)), r)
+	}
+	g.Expect(isRefused(table, 5, "bad")).To(BeTrue())
+}
+
+// Guards against taking cut links for the end of the endpoints behind them.
+func TestPartTableFreesAPartIfTheEndpointsLive(t *testing.T) {
+	g := NewWithT(t)
+	table := poison.NewPartTable(time.Minute)
+	for i := range 3 {
+		observeRuns(table, partRun(ident.Fingerprint(i), i, float64(i+1), true, fmt.Sprint("x", i), "cut"))
+	}
+	g.Expect(isRefused(table, 3, "cut")).To(BeTrue())
+	alive := partRun(8, 1, 5, false, "other")
+	alive.Started, alive.Complete = runAt(4.5), false
+	observeRuns(table, alive)
+	g.Expect(isRefused(table, 5, "cut")).To(BeFalse())
+}
+
+func TestPartTableExplainsTheCrashesOfARefusedPart(t *testing.T) {
+	g := NewWithT(t)
+	table := poison.NewPartTable(time.Minute)
+	observeRuns(table, partRun(5, 9, 0.5, true, "z"))
+	for i := range 3 {
+		observeRuns(table, partRun(ident.Fingerprint(i), i, float64(i+1), true, fmt.Sprint("x", i), "bad"))
+	}
+	g.Expect(table.Explains(runAt(4), poison.Incarnation{Endpoint: "e1", BootID: "1"})).To(BeTrue())
+	g.Expect(table.Explains(runAt(4), poison.Incarnation{Endpoint: "e9", BootID: "1"})).To(BeFalse())
+}
+
+func TestPartTablesAgreeInAnyOrder(t *testing.T) {
+	g := NewWithT(t)
+	tables := []*poison.PartTable{poison.NewPartTable(time.Minute), poison.NewPartTable(time.Minute), poison.NewPartTable(time.Minute)}
+	for i := range 3 {
+		observeRuns(tables[i], partRun(ident.Fingerprint(i), i, float64(i+1), true, fmt.Sprint("x", i), "bad"))
+	}
+	var deltas [][]poison.PartCrash
+	for _, table := range tables {
+		d, _ := table.Delta(runAt(4), 0)
+		deltas = append(deltas, d)
+	}
+	for i, table := range tables {
+		for k := range deltas {
+			table.Merge(runAt(4), deltas[(i+k)%len(deltas)])
+			table.Merge(runAt(4), deltas[k])
+		}
+		g.Expect(isRefused(table, 4, "bad")).To(BeTrue())
+	}
+	_, before := tables[0].Delta(runAt(4), 0)
+	tables[0].Merge(runAt(4.1), deltas[1])
+	d, after := tables[0].Delta(runAt(4.1), before)
+	g.Expect(d).To(BeEmpty(), "nothing that is known is sent again")
+	g.Expect(after).To(Equal(before))
+
+	observeRuns(tables[1], partRun(7, 8, 5, false, "bad"))
+	d, _ = tables[1].Delta(runAt(5), 0)
+	tables[2].Merge(runAt(5), d)
+	g.Expect(isRefused(tables[2], 5, "bad")).To(BeFalse(), "after a whole answer at another router")
+	tables[2].Merge(runAt(5.1), deltas[0])
+	g.Expect(isRefused(tables[2], 5.1, "bad")).To(BeFalse(), "after an old report of a crash")
+}
--- /dev/null
+++ b/internal/poison/part_verdict.go
@@ -0,0 +1,203 @@
+package poison
+
+import (
+	"sort"
+	"time"
+
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+const (
+	// refusalChain is the number of successive crashes from which a part is refused,
+	// and certainChain that from which it is refused although another part explains
+	// the crashes as well.
+	refusalChain = 3
+	certainChain = 5
+	// minPartRequests is the number of requests that must have crashed endpoints. One
+	// request that does so is refused as a whole.
+	minPartRequests = 2
+)
+
+// partVerdict holds the parts that are refused, and the crashes that they explain.
+type partVerdict struct {
+	parts    map[ident.Fingerprint]bool
+	explains map[Incarnation]bool
+}
+
+// RefusedPart returns the first part of a request's prompt that is refused.
+func (t *PartTable) RefusedPart(now time.Time, s Subject) (part string, refused bool) {
+	v := t.decide(now)
+	if len(v.parts) == 0 {
+		return "", false
+	}
+	for i, f := range s.partFingerprints() {
+		if v.parts[f] {
+			return s.Parts[i], true
+		}
+	}
+	return "", false
+}
+
+// RefusedParts returns the parts that are refused, sorted.
+func (t *PartTable) RefusedParts(now time.Time) []ident.Fingerprint {
+	return sortedFingerprints(t.decide(now).parts)
+}
+
+// Explains reports whether a refused part explains a crash.
+func (t *PartTable) Explains(now time.Time, i Incarnation) bool { return t.decide(now).explains[i] }
+
+// decide returns the verdict on what is known.
+//
+// A part that crashes endpoints is in the prompt of a request that each of its crashes
+// interrupted, and has no whole answer. The part that explains most crashes is refused
+// first; what it explains does not count against the parts that came along with it.
+func (t *PartTable) decide(now time.Time) partVerdict {
+	t.expire(now)
+	if t.decided == t.revision && t.verdict.parts != nil {
+		return t.verdict
+	}
+	v := partVerdict{parts: map[ident.Fingerprint]bool{}, explains: map[Incarnation]bool{}}
+	for {
+		best, ok := t.mostSuspect(v)
+		if !ok {
+			break
+		}
+		v.parts[best] = true
+		for i, x := range t.crashes {
+			v.explains[i] = v.explains[i] || x.suspects.holds(best)
+		}
+	}
+	t.verdict, t.decided = v, t.revision
+	return v
+}
+
+// partCase is the evidence against a part.
+type partCase struct {
+	part     ident.Fingerprint
+	chain    int  // successive crashes
+	answered bool // it has had a whole answer
+}
+
+// mostSuspect returns the part to be refused next, if there is one.
+func (t *PartTable) mostSuspect(v partVerdict) (ident.Fingerprint, bool) {
+	var cases []partCase
+	for part, interruptions := range t.interruptions(v) {
+		if chain, requests := successive(interruptions); chain >= refusalChain && requests >= minPartRequests {
+			cases = append(cases, partCase{part: part, chain: chain, answered: interruptions[0].answered})
+		}
+	}
+	if len(cases) == 0 {
+		return 0, false
+	}
+	sort.Slice(cases, func(i, j int) bool {
+		a, b := cases[i], cases[j]
+		switch {
+		case a.chain != b.chain:
+			return a.chain > b.chain
+		case a.answered != b.answered:
+			return b.answered
+		}
+		return a.part < b.part
+	})
+	if len(cases) > 1 && cases[0].chain == cases[1].chain && cases[0].answered == cases[1].answered && cases[0].chain < certainChain {
+		return 0, false // the next crash may tell them apart
+	}
+	return cases[0].part, true
+}
+
+// interruption is a crash that interrupted answers to prompts with a part.
+type interruption struct {
+	at       time.Time
+	since    time.Time // when the latest of these answers had begun
+	requests []ident.Fingerprint
+	answered bool
+}
+
+// interruptions returns the crashes that count against each part, in order of time:
+// those that no refused part explains and of which the part is not cleared. If the
+// endpoint had begun any answer, only the prompts of those count.
+func (t *PartTable) interruptions(v partVerdict) map[ident.Fingerprint][]interruption {
+	all := map[ident.Fingerprint][]interruption{}
+	for _, i := range t.byTime() {
+		x := t.crashes[i]
+		if v.explains[i] {
+			continue
+		}
+		began := x.suspects.anyBegan()
+		found := map[ident.Fingerprint]*interruption{}
+		for k, s := range x.suspects {
+			if s.cleared || s.began != began {
+				continue
+			}
+			n := found[k.part]
+			if n == nil {
+				n = &interruption{at: x.at}
+				found[k.part] = n
+			}
+			n.requests = append(n.requests, k.request)
+			n.answered = n.answered || s.answered
+			if s.since.After(n.since) {
+				n.since = s.since
+			}
+		}
+		for part, n := range found {
+			all[part] = append(all[part], *n)
+		}
+	}
+	for _, list := range all {
+		for i := range list {
+			list[0].answered = list[0].answered || list[i].answered
+		}
+	}
+	return all
+}
+
+// successive returns the length of a chain of crashes each of which interrupted an
+// answer that had begun after the one before, and the number of requests in it. Crashes
+// at once count as one: whatever takes down several endpoints interrupts all parts that
+// are common.
+func successive(list []interruption) (chain, requests int) {
+	distinct := map[ident.Fingerprint]bool{}
+	var last time.Time
+	for _, n := range list {
+		if !n.since.After(last) {
+			continue
+		}
+		chain, last = chain+1, n.at
+		for _, r := range n.requests {
+			distinct[r] = true
+		}
+	}
+	return chain, len(distinct)
+}
+
+// byTime returns the crashed incarnations in order of time.
+func (t *PartTable) byTime() []Incarnation {
+	list := make([]Incarnation, 0, len(t.crashes))
+	for i := range t.crashes {
+		list = append(list, i)
+	}
+	sortIncarnations(list)
+	sort.SliceStable(list, func(i, j int) bool { return t.crashes[list[i]].at.Before(t.crashes[list[j]].at) })
+	return list
+}
+
+// holds reports whether a part is among the suspects and not cleared.
+func (s partSuspects) holds(part ident.Fingerprint) bool {
+	for k, x := range s {
+		if k.part == part && !x.cleared {
+			return true
+		}
+	}
+	return false
+}
+
+// anyBegan reports whether the endpoint had begun any answer.
+func (s partSuspects) anyBegan() bool {
+	for _, x := range s {
+		if x.began {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/poison/run_table.go
+++ b/internal/poison/run_table.go
@@ -13,10 +13,36 @@
 // endpoint with, so one more is needed than for an Owner.
 const maxRunCrashes = 3
 
+// Cause is what of a request crashes endpoints.
+type Cause int
+
+// The causes.
+const (
+	CauseNone    Cause = iota
+	CauseRequest       // the request as a whole
+	CausePart          // a part of its prompt
+)
+
+// Subject is what of a request may crash the endpoints that run it: the request as a
+// whole, or a part of its prompt.
+type Subject struct {
+	Fingerprint ident.Fingerprint // see RequestFingerprint
+	Service     ident.ServiceID
+	Parts       []string // ids of the parts of its prompt that other requests may share
+}
+
+// partFingerprints returns the fingerprints of the parts.
+func (s Subject) partFingerprints() []ident.Fingerprint {
+	list := make([]ident.Fingerprint, len(s.Parts))
+	for i, part := range s.Parts {
+		list[i] = PartFingerprint(s.Service, part)
+	}
+	return list
+}
+
 // RunEnd is the end of a run of a request at an endpoint.
 type RunEnd struct {
-	Fingerprint ident.Fingerprint
-	Parts       []string // ids of the parts of its prompt that other requests may share
+	Subject
 	Incarnation Incarnation
 	Started     time.Time
 	Began       time.Time // when its answer began, zero if it did not
@@ -50,14 +76,22 @@
 	}
 }
 
-// CrashCount returns the number of endpoints that count as crashed by a request.
-func (t *RunTable) CrashCount(now time.Time, f ident.Fingerprint) int {
-	return len(t.crashes.UnclearedCrashes(now, f))
+// CrashCount returns the number of endpoints that count as crashed by a request: those
+// whose crash no other cause explains.
+func (t *RunTable) CrashCount(now time.Time, f ident.Fingerprint, explained func(Incarnation) bool) int {
+	n := 0
+	for _, i := range t.crashes.UnclearedCrashes(now, f) {
+		if !explained(i) {
+			n++
+		}
+	}
+	return n
 }
 
-// Refused reports whether a request is not run again.
-func (t *RunTable) Refused(now time.Time, f ident.Fingerprint) bool {
-	return t.CrashCount(now, f) >= maxRunCrashes
+// Refused reports whether a request is not run again, given the crashes that another
+// cause explains.
+func (t *RunTable) Refused(now time.Time, f ident.Fingerprint, explained func(Incarnation) bool) bool {
+	return t.CrashCount(now, f, explained) >= maxRunCrashes
 }
 
 // Delta returns the changes after a revision, and the current revision.
--- a/internal/poison/run_table_test.go
+++ b/internal/poison/run_table_test.go
@@ -19,20 +19,22 @@
 
 func runEnd(f ident.Fingerprint, endpoint int, seconds float64, broke bool) poison.RunEnd {
 	incarnation := poison.Incarnation{Endpoint: ident.EndpointID(fmt.Sprint("e", endpoint)), BootID: "1"}
-	return poison.RunEnd{Fingerprint: f, Incarnation: incarnation, Started: runAt(seconds), Broke: broke, Complete: !broke}
+	return poison.RunEnd{Subject: poison.Subject{Fingerprint: f}, Incarnation: incarnation, Started: runAt(seconds), Broke: broke, Complete: !broke}
 }
 
+func unexplained(poison.Incarnation) bool { return false }
+
 func TestRunTableRefusesAfterThreeCrashes(t *testing.T) {
 	g := NewWithT(t)
 	table := poison.NewRunTable(time.Minute)
 	for i := range 3 {
-		g.Expect(table.Refused(runAt(float64(i)), 7)).To(BeFalse())
+		g.Expect(table.Refused(runAt(float64(i)), 7, unexplained)).To(BeFalse())
 		table.Observe(runAt(float64(i)), runEnd(7, i, float64(i), true))
 		table.Observe(runAt(float64(i)), runEnd(7, i, float64(i), true)) // a second run on the same endpoint
 	}
-	g.Expect(table.Refused(runAt(3), 7)).To(BeTrue())
-	g.Expect(table.Refused(runAt(3), 8)).To(BeFalse())
-	g.Expect(table.Refused(runAt(63), 7)).To(BeFalse())
+	g.Expect(table.Refused(runAt(3), 7, unexplained)).To(BeTrue())
+	g.Expect(table.Refused(runAt(3), 8, unexplained)).To(BeFalse())
+	g.Expect(table.Refused(runAt(63), 7, unexplained)).To(BeFalse())
 }
 
 func TestRunTableClearsARequestThatCompletes(t *testing.T) {
@@ -42,9 +44,9 @@
 		table.Observe(runAt(1), runEnd(7, i, 0, true))
 	}
 	table.Observe(runAt(2), runEnd(7, 9, 1.5, false))
-	g.Expect(table.Refused(runAt(2), 7)).To(BeFalse())
+	g.Expect(table.Refused(runAt(2), 7, unexplained)).To(BeFalse())
 	table.Observe(runAt(3), runEnd(7, 4, 2, true))
-	g.Expect(table.CrashCount(runAt(3), 7)).To(Equal(1))
+	g.Expect(table.CrashCount(runAt(3), 7, unexplained)).To(Equal(1))
 }
 
 // Guards against a request that crashes endpoints after its first model's answer has
@@ -58,7 +60,7 @@
 		dropped.Complete = false
 		table.Observe(runAt(1.1), dropped)
 	}
-	g.Expect(table.Refused(runAt(2), 7)).To(BeTrue())
+	g.Expect(table.Refused(runAt(2), 7, unexplained)).To(BeTrue())
 }
 
 // Guards against taking a cut link for the end of the endpoints behind it.
@@ -69,9 +71,9 @@
 		table.Observe(runAt(1), runEnd(7, i, 0, true))
 	}
 	table.Observe(runAt(2), runEnd(8, 1, 0.5, false)) // begun before, so the endpoint may have ended since
-	g.Expect(table.Refused(runAt(2), 7)).To(BeTrue())
+	g.Expect(table.Refused(runAt(2), 7, unexplained)).To(BeTrue())
 	table.Observe(runAt(3), runEnd(8, 1, 1.5, false))
-	g.Expect(table.Refused(runAt(3), 7)).To(BeFalse())
+	g.Expect(table.Refused(runAt(3), 7, unexplained)).To(BeFalse())
 }
 
 func TestRunTableSharesCrashesAndClearances(t *testing.T) {
@@ -90,12 +92,12 @@
 	}
 	exchange(runAt(1.2))
 	for _, table := range tables {
-		g.Expect(table.Refused(runAt(1.2), 7)).To(BeTrue())
+		g.Expect(table.Refused(runAt(1.2), 7, unexplained)).To(BeTrue())
 	}
 	tables[0].Observe(runAt(2), runEnd(7, 9, 1.5, false))
 	exchange(runAt(2.2))
 	for _, table := range tables {
-		g.Expect(table.Refused(runAt(2.2), 7)).To(BeFalse())
+		g.Expect(table.Refused(runAt(2.2), 7, unexplained)).To(BeFalse())
 	}
 }
 
--- a/internal/proxy/action.go
+++ b/internal/proxy/action.go
@@ -99,14 +99,15 @@
 
 // Reasons for a failed or incomplete response.
 const (
-	ReasonNoEndpoint      Reason = "no endpoint"       // no endpoint can take the request now
-	ReasonOverloaded      Reason = "full"              // the endpoint refused it as overloaded
-	ReasonTooLate         Reason = "too late"          // no endpoint can answer before the deadline
-	ReasonLimited         Reason = "endpoints limited" // the limits that endpoints name are used up
-	ReasonFatal           Reason = "crashes endpoints" // endpoints ended while they ran it
-	ReasonTimeout         Reason = "timeout"           // no response before the deadline
-	ReasonAttemptFailed   Reason = "broken"            // an attempt failed and no retry is allowed
-	ReasonRetryBudget     Reason = "retry budget"      // retries have used up their share of the load
-	ReasonCallerGone      Reason = "caller left"       // the caller closed the connection
-	ReasonInvalidResponse Reason = "invalid reply"     // the response is unsigned or was re-encoded
+	ReasonNoEndpoint      Reason = "no endpoint"            // no endpoint can take the request now
+	ReasonOverloaded      Reason = "full"                   // the endpoint refused it as overloaded
+	ReasonTooLate         Reason = "too late"               // no endpoint can answer before the deadline
+	ReasonLimited         Reason = "endpoints limited"      // the limits that endpoints name are used up
+	ReasonFatal           Reason = "crashes endpoints"      // endpoints ended while they ran it
+	ReasonFatalPart       Reason = "part crashes endpoints" // endpoints ended while they ran requests with a part of its prompt
+	ReasonTimeout         Reason = "timeout"                // no response before the deadline
+	ReasonAttemptFailed   Reason = "broken"                 // an attempt failed and no retry is allowed
+	ReasonRetryBudget     Reason = "retry budget"           // retries have used up their share of the load
+	ReasonCallerGone      Reason = "caller left"            // the caller closed the connection
+	ReasonInvalidResponse Reason = "invalid reply"          // the response is unsigned or was re-encoded
 )
--- a/internal/proxy/event.go
+++ b/internal/proxy/event.go
@@ -8,7 +8,7 @@
 )
 
 // Event is an input of the state machine: Start, EndpointSelected, NoEndpoint,
-// HeadReceived, EventReceived, StreamEnded, ResponseReceived, AttemptFailed,
+// FoundFatal, HeadReceived, EventReceived, StreamEnded, ResponseReceived, AttemptFailed,
 // CallerGone or TimerFired.
 type Event interface{ event() }
 
@@ -31,7 +31,14 @@
 	RetryAfter time.Duration // until one is expected to, 0 if unknown
 	TooLate    bool          // endpoints exist, but none can answer before the deadline
 	Limited    bool          // endpoints exist, but their limits are used up
-	Fatal      bool          // the request has crashed endpoints and is not run again
+	Fatal      Reason        // why the request is not run again: it has crashed endpoints; "" if it has not
+}
+
+// FoundFatal reports, at any time, that the request is not to be run again since it
+// crashes endpoints.
+type FoundFatal struct {
+	Reason     Reason
+	RetryAfter time.Duration
 }
 
 // HeadReceived carries the response head of an event stream.
@@ -75,6 +82,7 @@
 func (Start) event()            {}
 func (EndpointSelected) event() {}
 func (NoEndpoint) event()       {}
+func (FoundFatal) event()       {}
 func (HeadReceived) event()     {}
 func (EventReceived) event()    {}
 func (StreamEnded) event()      {}
--- a/internal/proxy/machine.go
+++ b/internal/proxy/machine.go
@@ -71,6 +71,8 @@
 		return m.handleEndpoint(now, x)
 	case NoEndpoint:
 		return m.handleNoEndpoint(now, x)
+	case FoundFatal:
+		return m.handleFatal(now, x)
 	case HeadReceived:
 		return m.handleHead(now, x)
 	case EventReceived:
@@ -146,8 +148,8 @@
 	}
 	reason := ReasonNoEndpoint
 	switch {
-	case e.Fatal:
-		reason = ReasonFatal
+	case e.Fatal != "":
+		reason = e.Fatal
 	case e.TooLate:
 		reason = ReasonTooLate
 	case e.Limited:
--- a/internal/proxy/termination.go
+++ b/internal/proxy/termination.go
@@ -29,6 +29,16 @@
 	return append(m.cancelAll(), Abort{Reason: reason})
 }
 
+// handleFatal withdraws a request that waits at endpoints, so that they do not end when
+// they come to it. An answer that has begun goes on.
+func (m *Machine) handleFatal(now time.Time, e FoundFatal) []Action {
+	if m.streamOpen && m.attempts[m.streamAttempt].running {
+		return nil
+	}
+	m.mayHaveRun = m.mayHaveRun || m.hasRunningAttempt()
+	return append(m.cancelAll(), m.fail(now, e.Reason, e.RetryAfter)...)
+}
+
 // handleCallerGone ends the request of a caller that has disconnected. An attempt
 // that must not run twice is not cancelled, since the caller may ask for its
 // outcome later.
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -28,7 +28,8 @@
 	team          *paths.Team // nil on an anonymous route
 	body          []byte
 	request       proxy.Request
-	fingerprint   ident.Fingerprint
+	subject       poison.Subject
+	fatalPart     string // part of the prompt for which the request is refused, "" if none
 	state         *proxy.Machine
 	exchanges     []*exchange
 	placements    []placement
@@ -83,7 +84,10 @@
 func (c *call) run(ctx context.Context, q proxy.Request) {
 	s := c.server
 	c.request = q
-	c.fingerprint = poison.RequestFingerprint(q.Team, c.r.Method, routeHost(c.r), requestTarget(c.r), c.body)
+	c.subject = poison.Subject{
+		Fingerprint: poison.RequestFingerprint(q.Team, c.r.Method, routeHost(c.r), requestTarget(c.r), c.body),
+		Service:     q.Service, Parts: sharedParts(q.Parts),
+	}
 	c.events, c.done = make(chan proxy.Event, 4), make(chan struct{})
 	defer close(c.done)
 	budget := s.retryBudget(q.Service)
@@ -91,9 +95,15 @@
 	c.state = proxy.New(q, proxy.CascadeModels(q), budget)
 	c.timer = time.NewTimer(time.Hour)
 	defer c.timer.Stop()
+	crashes := s.control.CrashesChanged()
 	c.apply(c.state.Step(c.arrived, proxy.Start{}))
 	for !c.state.Done() {
 		select {
+		case <-crashes:
+			crashes = s.control.CrashesChanged()
+			if reason := c.fatalReason(s.clock()); reason != "" {
+				c.step(proxy.FoundFatal{Reason: reason, RetryAfter: fatalRetryAfter})
+			}
 		case e := <-c.events:
 			c.recordEvent(e)
 			c.step(c.addEscalationEstimate(e))
@@ -257,20 +267,20 @@
 		return
 	}
 	c.server.control.ObserveRun(now, poison.RunEnd{
-		Fingerprint: c.fingerprint, Parts: c.sharedParts(), Started: r.Started, Began: c.exchanges[r.Attempt].began, Broke: r.Disconnected, Complete: r.Complete,
+		Subject: c.subject, Started: r.Started, Began: c.exchanges[r.Attempt].began, Broke: r.Disconnected, Complete: r.Complete,
 		Incarnation: poison.Incarnation{Endpoint: r.Endpoint.ID, BootID: strconv.FormatInt(r.Endpoint.StartedMillis, 10)},
 	})
 }
 
-// sharedParts returns the ids of the parts of the prompt that other requests may
-// share, all but the last.
-func (c *call) sharedParts() []string {
-	if len(c.request.Parts) < 2 {
+// sharedParts returns the ids of the parts of a prompt that other requests may share,
+// all but the last.
+func sharedParts(parts []route.PromptPart) []string {
+	if len(parts) < 2 {
 		return nil
 	}
-	ids := make([]string, len(c.request.Parts)-1)
+	ids := make([]string, len(parts)-1)
 	for i := range ids {
-		ids[i] = c.request.Parts[i].ID
+		ids[i] = parts[i].ID
 	}
 	return ids
 }
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -33,10 +34,18 @@
 	left, _ := strconv.Atoi(h.Get("Left")) // 0 if not given
 	return relay.RequestHead{
 		ID: ident.RequestID(h.Get("Id")), Key: h.Get("Key"), Timeout: time.Duration(left) * time.Millisecond,
-		LastEventID: proxy.NoEvent, Model: ident.ModelID(h.Get("Model")),
+		LastEventID: proxy.NoEvent, Model: ident.ModelID(h.Get("Model")), Parts: testParts(h.Get("Parts")),
 	}, nil
 }
 
+func testParts(text string) []route.PromptPart {
+	var parts []route.PromptPart
+	for _, id := range strings.Fields(text) {
+		parts = append(parts, route.PromptPart{ID: id, Tokens: 1})
+	}
+	return parts
+}
+
 func (testCodec) SetAttemptHeaders(h http.Header, a relay.AttemptHead) {
 	h.Del("Key")
 	h.Set("Team", string(a.Team))
@@ -144,13 +153,15 @@
 
 // routerFixture is a router in front of scripted endpoints.
 type routerFixture struct {
-	world   *world.State
-	version ident.VersionID // version that requests are assigned to
-	server  *httptest.Server
-	relay   *relay.Server
-	lock    sync.Mutex // guards runs and world
-	runs    *poison.RunTable
-	limits  *route.LimitTable
+	world          *world.State
+	version        ident.VersionID // version that requests are assigned to
+	server         *httptest.Server
+	relay          *relay.Server
+	lock           sync.Mutex // guards the fields below, and world
+	runs           *poison.RunTable
+	fatalPart      string
+	crashesChanged chan struct{}
+	limits         *route.LimitTable
 }
 
 func (f *routerFixture) View() *world.View {
@@ -171,10 +182,31 @@
 	f.runs.Observe(now, r)
 }
 
-func (f *routerFixture) IsFatal(now time.Time, fingerprint ident.Fingerprint) bool {
+func (f *routerFixture) FatalCause(now time.Time, s poison.Subject) (poison.Cause, string) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	if f.fatalPart != "" && slices.Contains(s.Parts, f.fatalPart) {
+		return poison.CausePart, f.fatalPart
+	}
+	if f.runs.Refused(now, s.Fingerprint, func(poison.Incarnation) bool { return false }) {
+		return poison.CauseRequest, ""
+	}
+	return poison.CauseNone, ""
+}
+
+func (f *routerFixture) CrashesChanged() <-chan struct{} {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	return f.crashesChanged
+}
+
+// setFatalPart refuses requests with a part in their prompts from now on.
+func (f *routerFixture) setFatalPart(part string) {
 	f.lock.Lock()
 	defer f.lock.Unlock()
-	return f.runs.Refused(now, fingerprint)
+	f.fatalPart = part
+	close(f.crashesChanged)
+	f.crashesChanged = make(chan struct{})
 }
 
 func (f *routerFixture) RemoteWork(time.Time, ident.EndpointID) route.ModelBacklogs { return nil }
@@ -215,7 +247,7 @@
 		}})
 	}
 	w.Step(now, list)
-	f := &routerFixture{world: w, runs: poison.NewRunTable(time.Minute), limits: route.NewLimitTable()}
+	f := &routerFixture{world: w, runs: poison.NewRunTable(time.Minute), crashesChanged: make(chan struct{}), limits: route.NewLimitTable()}
 	var err error
 	f.relay, err = relay.New(relay.Settings{Router: "r1", Zone: "z", Retries: relay.RetryLimits{Share: 1, Extra: 100}}, testCodec{}, f, zap.NewNop(), metric.New(), time.Now)
 	Expect(err).NotTo(HaveOccurred())
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/marigoldscale/marigoldscale/internal/poison"
 	"github.com/marigoldscale/marigoldscale/internal/proxy"
 	"github.com/marigoldscale/marigoldscale/internal/route"
 	"github.com/marigoldscale/marigoldscale/internal/world"
@@ -16,8 +17,8 @@
 // endpoint of the stable version is chosen.
 func (c *call) placeAttempt(s proxy.SelectEndpoint) {
 	now := c.server.clock()
-	if c.server.control.IsFatal(now, c.fingerprint) {
-		c.step(proxy.NoEndpoint{Attempt: s.Attempt, RetryAfter: fatalRetryAfter, Fatal: true})
+	if reason := c.fatalReason(now); reason != "" {
+		c.step(proxy.NoEndpoint{Attempt: s.Attempt, RetryAfter: fatalRetryAfter, Fatal: reason})
 		return
 	}
 	view := c.server.control.View()
@@ -50,6 +51,20 @@
 	c.step(proxy.EndpointSelected{Attempt: s.Attempt, Endpoint: e, Expected: decision.Expected, BaseEstimate: decision.Uncorrected, ServiceTime: decision.Work, UncachedTokens: decision.Uncached})
 }
 
+// fatalReason returns the reason to refuse the request if endpoints have ended while
+// they ran it, or "".
+func (c *call) fatalReason(now time.Time) proxy.Reason {
+	cause, part := c.server.control.FatalCause(now, c.subject)
+	switch cause {
+	case poison.CauseRequest:
+		return proxy.ReasonFatal
+	case poison.CausePart:
+		c.fatalPart = part
+		return proxy.ReasonFatalPart
+	}
+	return ""
+}
+
 // fatalRetryAfter is the retry delay for a request that crashes endpoints. It is
 // cut to a part of the time that the caller waits.
 const fatalRetryAfter = time.Minute
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -114,6 +114,41 @@
 		Expect(f.call("POST", "c", "other").status).To(Equal(200))
 	})
 
+	It("refuses a prompt with a part that crashes endpoints, as not run, unless it is the prompt's last", func() {
+		p := newScriptedEndpoint(func(conn net.Conn, r *http.Request, _ int) {
+			writeString(conn, httpResponse(r.Header.Get("Id"), "yes"))
+		})
+		f := newFixture(idempotentRoute, p)
+		f.setFatalPart("bad")
+		got := f.call("POST", "a", "x", "Parts", "sound bad own")
+		Expect(got.status).To(Equal(503))
+		Expect(got.header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(p.requestCount()).To(BeZero())
+		Expect(f.call("POST", "b", "x", "Parts", "sound other own").status).To(Equal(200))
+		Expect(f.call("POST", "c", "x", "Parts", "sound bad").status).To(Equal(200))
+	})
+
+	// Guards against requests that wait at endpoints until each crashes the one it is at.
+	It("withdraws a request that waits at an endpoint once a part of its prompt is known to crash endpoints", func() {
+		arrived, closed := make(chan struct{}), make(chan struct{})
+		p := newScriptedEndpoint(func(conn net.Conn, _ *http.Request, _ int) {
+			close(arrived)
+			_, _ = conn.Read(make([]byte, 1)) // until the router closes the connection
+			close(closed)
+		})
+		f := newFixture(idempotentRoute, p)
+		status := make(chan int, 1)
+		go func() {
+			defer GinkgoRecover()
+			status <- f.call("POST", "a", "x", "Parts", "bad own").status
+		}()
+		Eventually(arrived, "2s").Should(BeClosed())
+		f.setFatalPart("bad")
+		Eventually(closed, "1s").Should(BeClosed())
+		Eventually(status, "1s").Should(Receive(Equal(502)), "the endpoint may have run it")
+		Expect(p.requestCount()).To(Equal(1))
+	})
+
 	It("sends nothing to an endpoint for as long as that asks, and refuses at once if all do", func() {
 		p := newScriptedEndpoint(func(conn net.Conn, _ *http.Request, _ int) {
 			writeString(conn, "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nRetry-After: 700ms\r\nContent-Length: 0\r\n\r\n")
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -55,7 +55,11 @@
 	c.w.WriteHeader(status)
 	body, _ := json.Marshal(map[string]string{"error": reason}) // encoding a map of strings cannot fail
 	_, _ = c.w.Write(body)                                      // an error means that the caller has disconnected
-	c.warn("refused", zap.Int("status", status), zap.Duration("after", after), zap.String("reason", reason))
+	fields := []zap.Field{zap.Int("status", status), zap.Duration("after", after), zap.String("reason", reason)}
+	if c.fatalPart != "" {
+		fields = append(fields, zap.String("part", c.fatalPart))
+	}
+	c.warn("refused", fields...)
 }
 
 // log writes a log line about the request and counts it by event.
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -57,9 +57,13 @@
 	Observe(now time.Time, route paths.RouteID, session ident.SessionKey, report proxy.Report)
 	// ObserveRun records how a run of a request ended.
 	ObserveRun(now time.Time, r poison.RunEnd)
-	// IsFatal reports whether endpoints have ended while they ran a request, so that
-	// it is not to be run again.
-	IsFatal(now time.Time, f ident.Fingerprint) bool
+	// FatalCause returns why a request is not to be run again since endpoints have
+	// ended while they ran it, or poison.CauseNone. It names the part of the prompt, if
+	// one is the cause.
+	FatalCause(now time.Time, s poison.Subject) (cause poison.Cause, part string)
+	// CrashesChanged returns a channel that is closed when more requests may not be
+	// run again than before.
+	CrashesChanged() <-chan struct{}
 	// RemoteWork returns the unanswered work that other routers have sent to an
 	// endpoint.
 	RemoteWork(now time.Time, id ident.EndpointID) route.ModelBacklogs
--- a/internal/syncer/controller.go
+++ b/internal/syncer/controller.go
@@ -15,7 +15,6 @@
 	"github.com/marigoldscale/marigoldscale/internal/feed"
 	"github.com/marigoldscale/marigoldscale/internal/paths"
 	"github.com/marigoldscale/marigoldscale/internal/plat"
-	"github.com/marigoldscale/marigoldscale/internal/poison"
 	"github.com/marigoldscale/marigoldscale/internal/route"
 	"github.com/marigoldscale/marigoldscale/internal/world"
 	"github.com/marigoldscale/marigoldscale/pkg/ident"
@@ -103,7 +102,7 @@
 	caches       map[plat.Key]*objectCache
 	peers        map[ident.RouterID]feed.Peer // all that were ever listed
 	evidenceSent evidenceCursor               // position up to which evidence was sent to followers
-	crashesSent  poison.Revision              // likewise for crashes
+	crashesSent  crashCursor                  // likewise for crashes
 	limitsSent   uint64                       // likewise for limits
 
 	lock       sync.Mutex // guards the fields below
@@ -111,7 +110,7 @@
 	stale      bool
 	unreadable map[plat.Key]plat.Version // version of each unreadable object that was logged
 	tracker    *rolloutTracker
-	runs       *poison.RunTable // requests that ran while endpoints ended
+	crashes    *crashRecord
 }
 
 // New returns a Controller without data. The function reset closes the
@@ -125,7 +124,7 @@
 	c := &Controller{
 		settings: s, codec: codec, store: store, log: log, clock: clock,
 		readGate: newGate(), membership: feed.NewMembership(feed.Peer{Router: s.Router, Address: s.FeedAddress, Priority: s.Priority}),
-		recent: recent, loads: newLoadAggregator(), prefixes: newPrefixExchange(), pinned: newPinnedSessions(), world: w, peers: map[ident.RouterID]feed.Peer{}, unreadable: map[plat.Key]plat.Version{}, tracker: newRolloutTracker(s, clock()), runs: poison.NewRunTable(crashMemory), limits: route.NewLimitTable(),
+		recent: recent, loads: newLoadAggregator(), prefixes: newPrefixExchange(), pinned: newPinnedSessions(), world: w, peers: map[ident.RouterID]feed.Peer{}, unreadable: map[plat.Key]plat.Version{}, tracker: newRolloutTracker(s, clock()), crashes: newCrashRecord(), limits: route.NewLimitTable(),
 	}
 	c.routerCount.Store(initialRouterCount)
 	c.hub = feed.NewHub(c)
--- a/internal/syncer/controller_test.go
+++ b/internal/syncer/controller_test.go
@@ -403,6 +403,11 @@
 	return s
 }
 
+func isFatal(r *router, f ident.Fingerprint) bool {
+	cause, _ := r.FatalCause(time.Now(), poison.Subject{Fingerprint: f})
+	return cause == poison.CauseRequest
+}
+
 var _ = Describe("Controller", func() {
 	It("syncs every router with the store while few of them read it", func() {
 		s := newPopulatedStore()
@@ -674,15 +679,45 @@
 		}
 		time.Sleep(2 * time.Second) // the routers that do not read the store follow others
 		for i := range 3 {
-			routers[i].ObserveRun(time.Now(), poison.RunEnd{Fingerprint: 7, Incarnation: poison.Incarnation{Endpoint: ident.EndpointID(fmt.Sprint("e", i))}, Broke: true})
+			routers[i].ObserveRun(time.Now(), poison.RunEnd{Subject: poison.Subject{Fingerprint: 7}, Incarnation: poison.Incarnation{Endpoint: ident.EndpointID(fmt.Sprint("e", i))}, Broke: true})
+		}
+		for _, r := range routers {
+			Eventually(func() bool { return isFatal(r, 7) }, "3s").Should(BeTrue())
+			Expect(isFatal(r, 8)).To(BeFalse())
+		}
+		routers[3].ObserveRun(time.Now(), poison.RunEnd{Subject: poison.Subject{Fingerprint: 7}, Incarnation: poison.Incarnation{Endpoint: "e9"}, Started: time.Now(), Complete: true})
+		for _, r := range routers {
+			Eventually(func() bool { return isFatal(r, 7) }, "3s").Should(BeFalse())
+		}
+	})
+
+	// Guards against a part of a prompt that each router stops only after it has crashed
+	// endpoints through that router.
+	It("refuses a part of prompts at every router once endpoints have ended under it at several", func() {
+		s := newPopulatedStore()
+		routers := startRouters(s, 4)
+		for _, r := range routers {
+			Eventually(func() bool { return r.View().Ready }, "5s").Should(BeTrue())
 		}
 		for _, r := range routers {
-			Eventually(func() bool { return r.IsFatal(time.Now(), 7) }, "3s").Should(BeTrue())
-			Expect(r.IsFatal(time.Now(), 8)).To(BeFalse())
+			Eventually(r.RouterCount, "8s").Should(Equal(4))
+		}
+		time.Sleep(2 * time.Second) // the routers that do not read the store follow others
+		for i := range 3 {
+			now := time.Now()
+			routers[i].ObserveRun(now, poison.RunEnd{
+				Subject:     poison.Subject{Fingerprint: ident.Fingerprint(i), Service: "s", Parts: []string{fmt.Sprint("other", i), "bad"}},
+				Incarnation: poison.Incarnation{Endpoint: ident.EndpointID(fmt.Sprint("e", i))}, Began: now.Add(-20 * time.Millisecond), Broke: true,
+			})
+			time.Sleep(100 * time.Millisecond)
+		}
+		cause := func(r *router, part string) poison.Cause {
+			cause, _ := r.FatalCause(time.Now(), poison.Subject{Fingerprint: 9, Service: "s", Parts: []string{part}})
+			return cause
 		}
-		routers[3].ObserveRun(time.Now(), poison.RunEnd{Fingerprint: 7, Incarnation: poison.Incarnation{Endpoint: "e9"}, Started: time.Now(), Complete: true})
 		for _, r := range routers {
-			Eventually(func() bool { return r.IsFatal(time.Now(), 7) }, "3s").Should(BeFalse())
+			Eventually(func() poison.Cause { return cause(r, "bad") }, "3s").Should(Equal(poison.CausePart))
+			Expect(cause(r, "other1")).To(Equal(poison.CauseNone))
 		}
 	})
 
--- a/internal/syncer/crashes.go
+++ b/internal/syncer/crashes.go
@@ -1,10 +1,12 @@
 package syncer
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/marigoldscale/marigoldscale/internal/feed"
 	"github.com/marigoldscale/marigoldscale/internal/poison"
 	"github.com/marigoldscale/marigoldscale/pkg/ident"
 )
@@ -12,45 +14,121 @@
 // crashMemory is how long a crash counts against the requests that ran.
 const crashMemory = 10 * time.Minute
 
+// crashRecord holds what is known of endpoints that ended while requests ran, and which
+// requests are not run again for it. The caller must hold Controller.lock.
+type crashRecord struct {
+	runs    *poison.RunTable
+	parts   *poison.PartTable
+	refused []ident.Fingerprint // parts, as of the latest change
+	changed chan struct{}       // closed when something may be refused that was not
+}
+
+func newCrashRecord() *crashRecord {
+	return &crashRecord{runs: poison.NewRunTable(crashMemory), parts: poison.NewPartTable(crashMemory), changed: make(chan struct{})}
+}
+
+// explained returns a function that reports whether a refused part explains a crash.
+func (r *crashRecord) explained(now time.Time) func(poison.Incarnation) bool {
+	return func(i poison.Incarnation) bool { return r.parts.Explains(now, i) }
+}
+
+// announce wakes those that wait for a change, and returns the parts that are refused
+// since the last one and those that no longer are.
+func (r *crashRecord) announce(now time.Time) (refused, freed []ident.Fingerprint) {
+	close(r.changed)
+	r.changed = make(chan struct{})
+	parts := r.parts.RefusedParts(now)
+	for _, part := range parts {
+		if !slices.Contains(r.refused, part) {
+			refused = append(refused, part)
+		}
+	}
+	for _, part := range r.refused {
+		if !slices.Contains(parts, part) {
+			freed = append(freed, part)
+		}
+	}
+	r.refused = parts
+	return refused, freed
+}
+
 // ObserveRun records how a run of a request ended.
 func (c *Controller) ObserveRun(now time.Time, r poison.RunEnd) {
 	c.lock.Lock()
-	c.runs.Observe(now, r)
-	crashes := c.runs.CrashCount(now, r.Fingerprint)
+	c.crashes.runs.Observe(now, r)
+	c.crashes.parts.Observe(now, r)
+	count := c.crashes.runs.CrashCount(now, r.Fingerprint, c.crashes.explained(now))
 	c.lock.Unlock()
 	if r.Broke {
 		c.log.Info("run broke", zap.Uint64("fingerprint", uint64(r.Fingerprint)), zap.String("endpoint", string(r.Incarnation.Endpoint)),
-			zap.String("boot", r.Incarnation.BootID), zap.Int("crashes", crashes), zap.Bool("began", !r.Began.IsZero()), zap.Strings("parts", r.Parts))
+			zap.String("boot", r.Incarnation.BootID), zap.Int("crashes", count), zap.Bool("began", !r.Began.IsZero()), zap.Strings("parts", r.Parts))
+		c.announceCrashes(now)
+	}
+}
+
+// announceCrashes tells requests in progress that crashes have become known, and logs
+// which parts of prompts are refused for them.
+func (c *Controller) announceCrashes(now time.Time) {
+	c.lock.Lock()
+	refused, freed := c.crashes.announce(now)
+	c.lock.Unlock()
+	for _, part := range refused {
+		c.log.Warn("prompt part refused", zap.Uint64("fingerprint", uint64(part)))
+	}
+	for _, part := range freed {
+		c.log.Info("prompt part not refused", zap.Uint64("fingerprint", uint64(part)))
 	}
 }
 
-// IsFatal reports whether endpoints have ended while they ran a request, so that it
-// is not to be run again.
-func (c *Controller) IsFatal(now time.Time, f ident.Fingerprint) bool {
+// FatalCause returns why a request is not to be run again since endpoints have ended
+// while they ran it, or poison.CauseNone. It names the part of the prompt, if one is the
+// cause.
+func (c *Controller) FatalCause(now time.Time, s poison.Subject) (cause poison.Cause, part string) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	return c.runs.Refused(now, f)
+	if part, refused := c.crashes.parts.RefusedPart(now, s); refused {
+		return poison.CausePart, part
+	}
+	if c.crashes.runs.Refused(now, s.Fingerprint, c.crashes.explained(now)) {
+		return poison.CauseRequest, ""
+	}
+	return poison.CauseNone, ""
 }
 
-// crashesSince returns the crashes known to this router that changed after cursor,
-// or nil, and advances cursor.
-func (c *Controller) crashesSince(now time.Time, cursor *poison.Revision) *poison.Delta {
+// CrashesChanged returns a channel that is closed when more requests may not be run
+// again than before.
+func (c *Controller) CrashesChanged() <-chan struct{} {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	d, next := c.runs.Delta(now, *cursor)
-	*cursor = next
-	if len(d.Crashes) == 0 {
-		return nil
+	return c.crashes.changed
+}
+
+// crashCursor is the position up to which crashes were sent.
+type crashCursor struct{ runs, parts poison.Revision }
+
+// crashesSince adds to a frame the crashes known to this router that changed after
+// cursor, and advances cursor.
+func (c *Controller) crashesSince(now time.Time, cursor *crashCursor, f *feed.Frame) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	d, next := c.crashes.runs.Delta(now, cursor.runs)
+	cursor.runs = next
+	if len(d.Crashes) > 0 {
+		f.Crashes = &d
 	}
-	return &d
+	f.Parts, cursor.parts = c.crashes.parts.Delta(now, cursor.parts)
 }
 
 // mergeCrashes merges crashes known to another router.
-func (c *Controller) mergeCrashes(now time.Time, d *poison.Delta) {
-	if d == nil {
+func (c *Controller) mergeCrashes(now time.Time, f feed.Frame) {
+	if f.Crashes == nil && len(f.Parts) == 0 {
 		return
 	}
 	c.lock.Lock()
-	defer c.lock.Unlock()
-	c.runs.Merge(now, *d)
+	if f.Crashes != nil {
+		c.crashes.runs.Merge(now, *f.Crashes)
+	}
+	c.crashes.parts.Merge(now, f.Parts)
+	c.lock.Unlock()
+	c.announceCrashes(now)
 }
--- a/internal/syncer/parent.go
+++ b/internal/syncer/parent.go
@@ -13,7 +13,6 @@
 
 	"github.com/marigoldscale/marigoldscale/internal/feed"
 	"github.com/marigoldscale/marigoldscale/internal/plat"
-	"github.com/marigoldscale/marigoldscale/internal/poison"
 )
 
 const (
@@ -289,7 +288,7 @@
 	}
 	c.cacheLock.Unlock()
 	c.mergeEvidence(f.Evidence)
-	c.mergeCrashes(now, f.Crashes)
+	c.mergeCrashes(now, f)
 	c.limits.Merge(now, f.Limits)
 	c.pinned.receive(now, f.Pinned)
 	if f.Load != nil {
@@ -305,16 +304,17 @@
 // router, until ctx ends.
 func (c *Controller) sendEvidence(ctx context.Context, stream *feed.Stream) {
 	var cursor evidenceCursor
-	var crashCursor poison.Revision
+	var crashes crashCursor
 	var limitCursor, pinCursor uint64
 	for ctx.Err() == nil {
 		sleep(ctx, evidenceInterval)
 		now := c.clock()
 		f := feed.Frame{
 			From: c.settings.Router, Evidence: c.evidenceSince(&cursor),
-			Crashes: c.crashesSince(now, &crashCursor), Limits: c.limitsSince(&limitCursor), Pinned: c.pinned.since(now, &pinCursor),
+			Limits: c.limitsSince(&limitCursor), Pinned: c.pinned.since(now, &pinCursor),
 		}
-		if (len(f.Evidence)+len(f.Limits)+len(f.Pinned) > 0 || f.Crashes != nil) && stream.Send(f) != nil {
+		c.crashesSince(now, &crashes, &f)
+		if (len(f.Evidence)+len(f.Limits)+len(f.Pinned)+len(f.Parts) > 0 || f.Crashes != nil) && stream.Send(f) != nil {
 			return // receiveFrames reports the broken link
 		}
 	}
@@ -378,8 +378,8 @@
 	}
 	var cursor evidenceCursor
 	f.Evidence = c.evidenceSince(&cursor)
-	var crashCursor poison.Revision
-	f.Crashes = c.crashesSince(c.clock(), &crashCursor)
+	var crashes crashCursor
+	c.crashesSince(c.clock(), &crashes, &f)
 	var limitCursor, pinCursor uint64
 	f.Limits = c.limitsSince(&limitCursor)
 	f.Pinned = c.pinned.since(c.clock(), &pinCursor)
@@ -392,14 +392,16 @@
 	c.cacheLock.Lock()
 	defer c.cacheLock.Unlock()
 	now := c.clock()
-	return c.stampFrame(now, feed.Frame{Evidence: c.evidenceSince(&c.evidenceSent), Crashes: c.crashesSince(now, &c.crashesSent), Limits: c.limitsSince(&c.limitsSent), Pinned: c.pinned.since(now, &c.pinnedSent)})
+	f := c.stampFrame(now, feed.Frame{Evidence: c.evidenceSince(&c.evidenceSent), Limits: c.limitsSince(&c.limitsSent), Pinned: c.pinned.since(now, &c.pinnedSent)})
+	c.crashesSince(now, &c.crashesSent, &f)
+	return f
 }
 
 // HandleFrame applies a frame from a follower.
 func (c *Controller) HandleFrame(f feed.Frame) {
 	c.mergeEvidence(f.Evidence)
 	now := c.clock()
-	c.mergeCrashes(now, f.Crashes)
+	c.mergeCrashes(now, f)
 	c.limits.Merge(now, f.Limits)
 	c.pinned.receive(now, f.Pinned)
 	if f.Load != nil {
