Refuse chat prompts with a message that crashes endpoints, at every router

The control thread keeps a poison.PartTable of the messages but the last, by model, and sends it with the crashes in heartbeats; a request with a refused one is refused before its body is claimed. The crashes that it explains no longer count against other bodies.

--- a/internal/ctrl/control.go
+++ b/internal/ctrl/control.go
@@ -56,6 +56,7 @@
 	estimates  *casc.Estimates
 	relayEpoch uint64 // incremented when the set of routers whose counters are forwarded changes
 	crashes    *poison.CrashTable
+	parts      *poison.PartTable
 	claims     *poison.Owner
 	stewards   map[ident.ZoneID]*steward
 
@@ -94,6 +95,7 @@
 		evidence:      roll.NewEvidence(uint64(started.UnixNano())),
 		estimates:     casc.NewEstimates(),
 		crashes:       crashes,
+		parts:         poison.NewPartTable(settings.CrashLifetime),
 		claims:        poison.NewOwner(crashes, settings.ClaimLifetime),
 		stewards:      map[ident.ZoneID]*steward{},
 		viewDirty:     true,
--- a/internal/ctrl/endpoint.go
+++ b/internal/ctrl/endpoint.go
@@ -109,6 +109,9 @@
 	if comparison, ok := c.rolloutComparison(now, a.Release.Model); ok && a.IsEvidence {
 		c.evidence.RecordOutcome(now, c.source, comparison, a.Team, a.Release, a.Outcome)
 	}
+	if a.Run.Broke || a.Run.Complete {
+		c.parts.Observe(now, a.Run)
+	}
 	if !a.ConnectionBroken {
 		return nil
 	}
@@ -116,6 +119,14 @@
 	return c.scheduleUrgent()
 }
 
+// exonerate clears the bodies that ran beside a prompt with a part that crashes
+// endpoints.
+func (c *Control) exonerate(now time.Time) {
+	for _, i := range c.parts.Explained(now) {
+		c.crashes.Exonerate(now, i)
+	}
+}
+
 // coldMarks returns the marks of the endpoints that this router treats as cold
 // although they report to be warm.
 func (c *Control) coldMarks(now time.Time) []ColdMark {
--- a/internal/ctrl/event.go
+++ b/internal/ctrl/event.go
@@ -75,10 +75,9 @@
 // AttemptEnded is the result of one attempt on an endpoint.
 type AttemptEnded struct {
 	Endpoint         ident.EndpointID
-	Boot             string
 	Release          ident.Release
 	Team             ident.TeamID
-	Fingerprint      ident.Fingerprint
+	Run              poison.RunEnd
 	Outcome          roll.Outcome
 	Latency          time.Duration // time to first token, 0 if none arrived
 	ExpectedLatency  time.Duration // expected time to first token
@@ -224,6 +223,7 @@
 	Evidence   roll.Revision
 	Estimates  casc.Revision
 	Crashes    poison.Revision
+	Parts      poison.Revision
 	relayEpoch uint64 // Control.relayEpoch when the cursors were taken
 }
 
--- a/internal/ctrl/heartbeat.go
+++ b/internal/ctrl/heartbeat.go
@@ -98,6 +98,7 @@
 	estimates, cursors.Estimates = c.estimates.Delta(known.Estimates)
 	b.Estimates = filterBySource(estimates, func(e casc.Entry) ident.RouterID { return e.Source.Router }, c.relaysCounters(now))
 	b.CrashDelta, cursors.Crashes = c.crashes.Delta(now, known.Crashes)
+	b.CrashDelta.Parts, cursors.Parts = c.parts.Delta(now, known.Parts)
 	return b, cursors
 }
 
@@ -141,6 +142,7 @@
 	c.evidence.Merge(b.Evidence)
 	c.estimates.Merge(b.Estimates)
 	c.crashes.Merge(now, b.CrashDelta)
+	c.parts.Merge(now, b.CrashDelta.Parts)
 	c.applyColdMarks(now, b.ColdMarks)
 	c.mergePeerAges(now, b.PeerAges)
 	actions := c.fetchIfNewer(now, b.Router, b.Generation)
--- a/internal/ctrl/steward_test.go
+++ b/internal/ctrl/steward_test.go
@@ -157,3 +157,32 @@
 		}),
 	)
 })
+
+var _ = Describe("A part of prompts that crashes endpoints", func() {
+	// Guards against bodies that share a message which crashes endpoints, each of which
+	// is refused by itself only after it has crashed two.
+	It("is refused by every router, and the bodies that ran beside it are not", Label("fault=poison", "fault=endpoint-crashed", "step=choose"), func() {
+		cl := newCluster("a1", "a2", "b1", "b2")
+		cl.advance(3 * time.Second)
+		const neighbour = ident.Fingerprint(99)
+		for i, id := range []ident.RouterID{"a1", "b1", "a2"} {
+			crash := poison.Incarnation{Endpoint: ident.EndpointID(fmt.Sprint("e", i)), BootID: "1"}
+			cl.handle(cl.node("b2"), ctrl.EndClaim{Ended: poison.ClaimEnd{Fingerprint: neighbour, Attempt: ident.AttemptID(id), Crashed: &crash}})
+			cl.handle(cl.node(id), ctrl.AttemptEnded{Release: stable, ConnectionBroken: true, Run: poison.RunEnd{
+				Subject: poison.Subject{Fingerprint: ident.Fingerprint(i), Service: "condor", Parts: []string{fmt.Sprint("own", i), "bad"}},
+				Began:   cl.now.Add(-20 * time.Millisecond), Incarnation: crash, Broke: true,
+			}})
+			cl.advance(500 * time.Millisecond)
+		}
+		for _, n := range cl.nodes {
+			refused := func(part string) bool {
+				_, refused := n.view.RefusedParts.Find(poison.Subject{Service: "condor", Parts: []string{part}})
+				return refused
+			}
+			Expect(refused("bad")).To(BeTrue(), "router %s", n.id)
+			Expect(refused("own1")).To(BeFalse(), "router %s", n.id)
+			Expect(n.view.Suspicions).NotTo(HaveKey(neighbour), "router %s", n.id)
+		}
+		Expect(cl.violations).To(BeEmpty())
+	})
+})
--- a/internal/ctrl/view.go
+++ b/internal/ctrl/view.go
@@ -31,7 +31,8 @@
 	Estimates     *casc.Estimates
 	ReadsPlatform bool             // whether this router reads the platform for its zone
 	Owners        *poison.OwnerMap // the router that owns each request body
-	KnownRouters  []status.Router  // this router and all that were ever known to be alive, for operators
+	RefusedParts  poison.RefusedParts
+	KnownRouters  []status.Router // this router and all that were ever known to be alive, for operators
 	Platform      status.Platform
 	knownBy       map[ident.Release][]ident.RouterID // routers known to have applied a withdrawal
 	persisted     map[ident.Release]bool             // withdrawals stored in the platform
@@ -78,6 +79,7 @@
 	}
 	c.viewDirty = false
 	c.lastView = now
+	c.exonerate(now)
 	v := &View{
 		Snapshot: &fleet.Snapshot{
 			Self:        c.self,
@@ -95,6 +97,7 @@
 		Quotas:        map[ident.ModelID]*Quota{},
 		Stewards:      map[ident.ZoneID]ident.RouterID{},
 		Estimates:     c.estimates.Clone(),
+		RefusedParts:  c.parts.Refused(now),
 		ReadsPlatform: c.readsPlatform(now),
 		Platform:      status.Platform{Reachable: c.platform.reachable, Since: c.platform.since},
 		knownBy:       map[ident.Release][]ident.RouterID{},
--- a/internal/feed/frame.go
+++ b/internal/feed/frame.go
@@ -88,13 +88,12 @@
 	Confirmed map[plat.Key]Confirmation `json:"confirmed,omitempty"`
 	// Evidence holds tallies on versions, in the encoding of package syncer.
 	Evidence []json.RawMessage `json:"evidence,omitempty"`
-	// Crashes holds the requests that ran while endpoints ended.
-	Crashes *poison.Delta `json:"crashes,omitempty"`
-	// Parts holds the parts of the prompts of these requests.
-	Parts  []poison.PartCrash    `json:"parts,omitempty"`
-	Limits []route.EndpointLimit `json:"limits,omitempty"`
-	Pinned []PinnedSession       `json:"kept,omitempty"`
-	Load   *Load                 `json:"load,omitempty"`
+	// Crashes holds the requests that ran while endpoints ended, and the shared parts
+	// of their prompts.
+	Crashes *poison.Delta         `json:"crashes,omitempty"`
+	Limits  []route.EndpointLimit `json:"limits,omitempty"`
+	Pinned  []PinnedSession       `json:"kept,omitempty"`
+	Load    *Load                 `json:"load,omitempty"`
 }
 
 // Confirmation identifies an answer of the store by which data was current. It stays
--- a/internal/flow/request.go
+++ b/internal/flow/request.go
@@ -5,6 +5,7 @@
 
 	"github.com/marigoldscale/marigoldscale/internal/engine"
 	"github.com/marigoldscale/marigoldscale/internal/fleet"
+	"github.com/marigoldscale/marigoldscale/internal/poison"
 	"github.com/marigoldscale/marigoldscale/pkg/ident"
 )
 
@@ -28,10 +29,21 @@
 	ShortAnswer  bool // expects a short answer, shed last under load
 	Stream       bool
 	Fingerprint  ident.Fingerprint
+	Parts        []string // ids of the parts of the prompt that other requests may share
 	Deadline     time.Time
 	Trace        string // W3C traceparent
 }
 
+// Subject returns what of the request may crash the endpoints that run it. A part that
+// does so for one model need not for another.
+func (r Request) Subject() poison.Subject {
+	service := r.Service
+	if r.Model != "" {
+		service = ident.ServiceID(r.Model)
+	}
+	return poison.Subject{Fingerprint: r.Fingerprint, Service: service, Parts: r.Parts}
+}
+
 // Meta holds what is known of an answer before its first text is forwarded.
 type Meta struct {
 	Release      ident.Release
--- a/internal/poison/crash_table.go
+++ b/internal/poison/crash_table.go
@@ -39,8 +39,12 @@
 type Delta struct {
 	Crashes    []Crash     `json:"deaths,omitempty"`
 	Clearances []Clearance `json:"clearances,omitempty"`
+	Parts      []PartCrash `json:"parts,omitempty"` // see PartTable
 }
 
+// IsEmpty reports whether the delta holds no change.
+func (d Delta) IsEmpty() bool { return len(d.Crashes)+len(d.Clearances)+len(d.Parts) == 0 }
+
 // Revision numbers the changes of a CrashTable.
 type Revision uint64
 
@@ -108,6 +112,9 @@
 	return changed
 }
 
+// Exonerate clears all suspects of a crash whose cause is known.
+func (t *CrashTable) Exonerate(now time.Time, i Incarnation) { t.clearIncarnation(now, i) }
+
 // clearIncarnation clears all suspects of a crash that was none.
 func (t *CrashTable) clearIncarnation(now time.Time, i Incarnation) {
 	x, known := t.crashes[i]
--- a/internal/poison/part_storm_test.go
+++ b/internal/poison/part_storm_test.go
@@ -99,7 +99,7 @@
 
 // place sends a request to a server that is up, if its router does not refuse it.
 func (s *storm) place(now time.Time, r *stormRun) {
-	if _, refused := s.tables[r.router].RefusedPart(now, poison.Subject{Service: "s", Parts: r.parts}); refused {
+	if _, refused := s.tables[r.router].Refused(now).Find(poison.Subject{Service: "s", Parts: r.parts}); refused {
 		if !r.bad {
 			s.refused = append(s.refused, now)
 		}
--- a/internal/poison/part_table_test.go
+++ b/internal/poison/part_table_test.go
@@ -19,7 +19,7 @@
 }
 
 func isRefused(t *poison.PartTable, seconds float64, part string) bool {
-	_, refused := t.RefusedPart(runAt(seconds), poison.Subject{Service: "s", Parts: []string{part}})
+	_, refused := t.Refused(runAt(seconds)).Find(poison.Subject{Service: "s", Parts: []string{part}})
 	return refused
 }
 
@@ -38,7 +38,7 @@
 	for part, want := range map[string]bool{"bad": true, "a": false, "b": false, "c": false} {
 		g.Expect(isRefused(table, 3, part)).To(Equal(want), part)
 	}
-	_, other := table.RefusedPart(runAt(3), poison.Subject{Service: "other", Parts: []string{"bad"}})
+	_, other := table.Refused(runAt(3)).Find(poison.Subject{Service: "other", Parts: []string{"bad"}})
 	g.Expect(other).To(BeFalse(), "at another service")
 	g.Expect(isRefused(table, 64, "bad")).To(BeFalse(), "after the crashes are forgotten")
 }
--- a/internal/poison/part_verdict.go
+++ b/internal/poison/part_verdict.go
@@ -18,29 +18,42 @@
 	minPartRequests = 2
 )
 
-// partVerdict holds the parts that are refused, and the crashes that they explain.
-type partVerdict struct {
-	parts    map[ident.Fingerprint]bool
-	explains map[Incarnation]bool
-}
+// RefusedParts is the set of the parts of prompts that are refused. It is not changed
+// once it was returned.
+type RefusedParts map[ident.Fingerprint]bool
 
-// RefusedPart returns the first part of a request's prompt that is refused.
-func (t *PartTable) RefusedPart(now time.Time, s Subject) (part string, refused bool) {
-	v := t.decide(now)
-	if len(v.parts) == 0 {
+// Find returns the first part of a request's prompt that is refused.
+func (p RefusedParts) Find(s Subject) (part string, refused bool) {
+	if len(p) == 0 {
 		return "", false
 	}
 	for i, f := range s.partFingerprints() {
-		if v.parts[f] {
+		if p[f] {
 			return s.Parts[i], true
 		}
 	}
 	return "", false
 }
 
-// RefusedParts returns the parts that are refused, sorted.
-func (t *PartTable) RefusedParts(now time.Time) []ident.Fingerprint {
-	return sortedFingerprints(t.decide(now).parts)
+// partVerdict holds the parts that are refused, and the crashes that they explain.
+type partVerdict struct {
+	parts    RefusedParts
+	explains map[Incarnation]bool
+}
+
+// Refused returns the parts that are refused.
+func (t *PartTable) Refused(now time.Time) RefusedParts { return t.decide(now).parts }
+
+// Explained returns the crashes that a refused part explains, sorted.
+func (t *PartTable) Explained(now time.Time) []Incarnation {
+	var list []Incarnation
+	for i, explained := range t.decide(now).explains {
+		if explained {
+			list = append(list, i)
+		}
+	}
+	sortIncarnations(list)
+	return list
 }
 
 // Explains reports whether a refused part explains a crash.
@@ -56,7 +69,7 @@
 	if t.decided == t.revision && t.verdict.parts != nil {
 		return t.verdict
 	}
-	v := partVerdict{parts: map[ident.Fingerprint]bool{}, explains: map[Incarnation]bool{}}
+	v := partVerdict{parts: RefusedParts{}, explains: map[Incarnation]bool{}}
 	for {
 		best, ok := t.mostSuspect(v)
 		if !ok {
--- a/internal/router/heartbeat.go
+++ b/internal/router/heartbeat.go
@@ -108,7 +108,7 @@
 	fields := []jsonField{
 		{"evidence", &request.Evidence, b.Evidence, len(b.Evidence) == 0},
 		{"estimates", &request.Estimates, b.Estimates, len(b.Estimates) == 0},
-		{"deaths", &request.Deaths, b.CrashDelta, len(b.CrashDelta.Crashes)+len(b.CrashDelta.Clearances) == 0},
+		{"deaths", &request.Deaths, b.CrashDelta, b.CrashDelta.IsEmpty()},
 		{"marks", &request.Marks, b.ColdMarks, len(b.ColdMarks) == 0},
 	}
 	for _, f := range fields {
--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -203,10 +203,9 @@
 	}
 	t.server.SendEvent(ctrl.AttemptEnded{
 		Endpoint:         spec.ID,
-		Boot:             t.action.Endpoint.Report.Boot,
 		Release:          t.action.Release,
 		Team:             t.request.Key.Team,
-		Fingerprint:      t.request.Fingerprint,
+		Run:              t.runEnd(err == nil, crashed),
 		Outcome:          roll.Outcome{Failed: crashed, FirstToken: t.firstToken},
 		Latency:          t.firstToken,
 		ExpectedLatency:  t.action.Expected,
@@ -223,6 +222,22 @@
 	}
 }
 
+// runEnd describes the end of the run, for the table of parts of prompts that crash
+// endpoints.
+func (t *attempt) runEnd(complete, crashed bool) poison.RunEnd {
+	e := poison.RunEnd{
+		Subject: t.request.Subject(), Incarnation: t.incarnation(), Started: t.started, Broke: crashed, Complete: complete,
+	}
+	if t.firstToken > 0 {
+		e.Began = t.started.Add(t.firstToken)
+	}
+	return e
+}
+
+func (t *attempt) incarnation() poison.Incarnation {
+	return poison.Incarnation{Endpoint: t.action.Endpoint.Spec.ID, BootID: t.action.Endpoint.Report.Boot}
+}
+
 func (t *attempt) endClaim(ctx context.Context, complete, crashed bool) {
 	end := poison.ClaimEnd{Fingerprint: t.request.Fingerprint, Attempt: t.action.Attempt, Complete: complete}
 	ctx = context.WithoutCancel(ctx)
@@ -230,7 +245,8 @@
 		go t.sendClaimEnd(ctx, end)
 		return
 	}
-	end.Crashed = &poison.Incarnation{Endpoint: t.action.Endpoint.Spec.ID, BootID: t.action.Endpoint.Report.Boot}
+	crash := t.incarnation()
+	end.Crashed = &crash
 	t.sendClaimEnd(ctx, end)
 }
 
--- a/internal/serve/harness_test.go
+++ b/internal/serve/harness_test.go
@@ -93,6 +93,19 @@
 	return n
 }
 
+// runEnds returns the ends of runs that were reported to the control thread.
+func (h *harness) runEnds() []poison.RunEnd {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	var runs []poison.RunEnd
+	for _, e := range h.events {
+		if a, ok := e.(ctrl.AttemptEnded); ok && a.Endpoint != "" {
+			runs = append(runs, a.Run)
+		}
+	}
+	return runs
+}
+
 // publish publishes a changed view. Before the change it has two warm endpoints of
 // each release and of a service that is not a model.
 func (h *harness) publish(change func(*fleet.Snapshot)) {
--- a/internal/serve/selection.go
+++ b/internal/serve/selection.go
@@ -51,6 +51,9 @@
 }
 
 func (r *run) claimBody(ctx context.Context, attempt ident.AttemptID) flow.BodyChecked {
+	if _, refused := r.server.View().RefusedParts.Find(r.request.Subject()); refused {
+		return flow.BodyChecked{Refused: true}
+	}
 	ctx, span := r.server.Tracer.Start(ctx, "guard")
 	defer span.End()
 	ctx, cancel := context.WithTimeout(ctx, bodyCheckTimeout)
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -16,6 +16,7 @@
 	"github.com/marigoldscale/marigoldscale/internal/engine"
 	"github.com/marigoldscale/marigoldscale/internal/fleet"
 	"github.com/marigoldscale/marigoldscale/internal/flow"
+	"github.com/marigoldscale/marigoldscale/internal/poison"
 	"github.com/marigoldscale/marigoldscale/internal/serve"
 	"github.com/marigoldscale/marigoldscale/internal/shard"
 	"github.com/marigoldscale/marigoldscale/pkg/ident"
@@ -41,6 +42,46 @@
 		Expect(h.journal.recordedBills()).To(HaveLen(100))
 	})
 
+	It("is refused, without an attempt, for a message that crashes endpoints, and not for any other", func() {
+		h := newHarness()
+		h.engine.streams = append(h.engine.streams, stream(3, 3, nil))
+		chat := func(messages string) flow.Request {
+			r := chatRequest(longDeadline)
+			r.Key.Request = ident.RequestID(messages)
+			r.Body = []byte(`{"model":"condor","messages":[` + messages + `]}`)
+			return r
+		}
+		bad, own := `{"role":"system","content":"bad"}`, `{"role":"user","content":"hola"}`
+		part := poison.BodyParts(chat(bad + "," + own).Body)[0]
+		view := *h.view.Load()
+		view.RefusedParts = poison.RefusedParts{poison.PartFingerprint("condor", part): true}
+		h.view.Store(&view)
+		result := h.server.Run(ctx, chat(`{"content":"bad", "role":"system"},`+own), &fakeCaller{})
+		Expect(result.Refusal).NotTo(BeNil())
+		Expect(result.Refusal.Code).To(Equal(flow.CodeCrashesEndpoints))
+		Expect(result.Refusal.Ran).To(Equal(flow.RanNo))
+		Expect(h.engine.sentAttempts()).To(BeEmpty())
+		Expect(h.server.Run(ctx, chat(own+","+bad), &fakeCaller{}).Refusal).To(BeNil(), "as the last message")
+		Expect(h.server.Run(ctx, chat(own+","+own), &fakeCaller{}).Refusal).To(BeNil())
+	})
+
+	It("tells the control thread the parts of a prompt whose run broke, and when its answer began", func() {
+		h := newHarness()
+		h.engine.streams = append(h.engine.streams, stream(2, 10, engine.ErrConnectionBroken), stream(10, 10, nil))
+		r := chatRequest(longDeadline)
+		r.Body = []byte(`{"model":"condor","messages":[{"role":"system","content":"a"},{"role":"user","content":"b"}]}`)
+		Expect(h.server.Run(ctx, r, &fakeCaller{}).Refusal).To(BeNil())
+		runs := h.runEnds()
+		Expect(runs).To(HaveLen(2))
+		Expect(runs[0].Broke).To(BeTrue())
+		Expect(runs[0].Began.IsZero()).To(BeFalse())
+		Expect(runs[1].Complete).To(BeTrue())
+		for _, run := range runs {
+			Expect(run.Service).To(Equal(ident.ServiceID("condor")))
+			Expect(run.Parts).To(Equal(poison.BodyParts(r.Body)))
+		}
+	})
+
 	DescribeTable("is resumed after a failed attempt without duplicate or missing tokens, and is billed once",
 		func(received int, failure error, crashes int) {
 			h := newHarness()
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -126,6 +126,7 @@
 func (s *Server) Run(ctx context.Context, request flow.Request, sink flow.Sink) flow.Result {
 	salt := string(request.Model) + "/" + string(request.Service) + "/" + request.Path
 	request.Fingerprint = poison.Fingerprint(salt, request.Body)
+	request.Parts = poison.BodyParts(request.Body)
 	r := newRun(s, request, sink)
 	started := s.Now()
 	ctx, span := s.Tracer.Start(s.Tracer.ContextFromHeader(ctx, request.Trace), "front", requestAttributes(request)...)
--- a/internal/syncer/crashes.go
+++ b/internal/syncer/crashes.go
@@ -1,12 +1,10 @@
 package syncer
 
 import (
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
-	"github.com/marigoldscale/marigoldscale/internal/feed"
 	"github.com/marigoldscale/marigoldscale/internal/poison"
 	"github.com/marigoldscale/marigoldscale/pkg/ident"
 )
@@ -19,7 +17,7 @@
 type crashRecord struct {
 	runs    *poison.RunTable
 	parts   *poison.PartTable
-	refused []ident.Fingerprint // parts, as of the latest change
+	refused poison.RefusedParts // as of the latest change
 	changed chan struct{}       // closed when something may be refused that was not
 }
 
@@ -37,14 +35,14 @@
 func (r *crashRecord) announce(now time.Time) (refused, freed []ident.Fingerprint) {
 	close(r.changed)
 	r.changed = make(chan struct{})
-	parts := r.parts.RefusedParts(now)
-	for _, part := range parts {
-		if !slices.Contains(r.refused, part) {
+	parts := r.parts.Refused(now)
+	for part := range parts {
+		if !r.refused[part] {
 			refused = append(refused, part)
 		}
 	}
-	for _, part := range r.refused {
-		if !slices.Contains(parts, part) {
+	for part := range r.refused {
+		if !parts[part] {
 			freed = append(freed, part)
 		}
 	}
@@ -86,7 +84,7 @@
 func (c *Controller) FatalCause(now time.Time, s poison.Subject) (cause poison.Cause, part string) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	if part, refused := c.crashes.parts.RefusedPart(now, s); refused {
+	if part, refused := c.crashes.parts.Refused(now).Find(s); refused {
 		return poison.CausePart, part
 	}
 	if c.crashes.runs.Refused(now, s.Fingerprint, c.crashes.explained(now)) {
@@ -106,29 +104,28 @@
 // crashCursor is the position up to which crashes were sent.
 type crashCursor struct{ runs, parts poison.Revision }
 
-// crashesSince adds to a frame the crashes known to this router that changed after
-// cursor, and advances cursor.
-func (c *Controller) crashesSince(now time.Time, cursor *crashCursor, f *feed.Frame) {
+// crashesSince returns the crashes known to this router that changed after cursor, or
+// nil, and advances cursor.
+func (c *Controller) crashesSince(now time.Time, cursor *crashCursor) *poison.Delta {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	d, next := c.crashes.runs.Delta(now, cursor.runs)
-	cursor.runs = next
-	if len(d.Crashes) > 0 {
-		f.Crashes = &d
+	var d poison.Delta
+	d, cursor.runs = c.crashes.runs.Delta(now, cursor.runs)
+	d.Parts, cursor.parts = c.crashes.parts.Delta(now, cursor.parts)
+	if d.IsEmpty() {
+		return nil
 	}
-	f.Parts, cursor.parts = c.crashes.parts.Delta(now, cursor.parts)
+	return &d
 }
 
 // mergeCrashes merges crashes known to another router.
-func (c *Controller) mergeCrashes(now time.Time, f feed.Frame) {
-	if f.Crashes == nil && len(f.Parts) == 0 {
+func (c *Controller) mergeCrashes(now time.Time, d *poison.Delta) {
+	if d == nil {
 		return
 	}
 	c.lock.Lock()
-	if f.Crashes != nil {
-		c.crashes.runs.Merge(now, *f.Crashes)
-	}
-	c.crashes.parts.Merge(now, f.Parts)
+	c.crashes.runs.Merge(now, *d)
+	c.crashes.parts.Merge(now, d.Parts)
 	c.lock.Unlock()
 	c.announceCrashes(now)
 }
--- a/internal/syncer/parent.go
+++ b/internal/syncer/parent.go
@@ -288,7 +288,7 @@
 	}
 	c.cacheLock.Unlock()
 	c.mergeEvidence(f.Evidence)
-	c.mergeCrashes(now, f)
+	c.mergeCrashes(now, f.Crashes)
 	c.limits.Merge(now, f.Limits)
 	c.pinned.receive(now, f.Pinned)
 	if f.Load != nil {
@@ -311,10 +311,9 @@
 		now := c.clock()
 		f := feed.Frame{
 			From: c.settings.Router, Evidence: c.evidenceSince(&cursor),
-			Limits: c.limitsSince(&limitCursor), Pinned: c.pinned.since(now, &pinCursor),
+			Crashes: c.crashesSince(now, &crashes), Limits: c.limitsSince(&limitCursor), Pinned: c.pinned.since(now, &pinCursor),
 		}
-		c.crashesSince(now, &crashes, &f)
-		if (len(f.Evidence)+len(f.Limits)+len(f.Pinned)+len(f.Parts) > 0 || f.Crashes != nil) && stream.Send(f) != nil {
+		if (len(f.Evidence)+len(f.Limits)+len(f.Pinned) > 0 || f.Crashes != nil) && stream.Send(f) != nil {
 			return // receiveFrames reports the broken link
 		}
 	}
@@ -379,7 +378,7 @@
 	var cursor evidenceCursor
 	f.Evidence = c.evidenceSince(&cursor)
 	var crashes crashCursor
-	c.crashesSince(c.clock(), &crashes, &f)
+	f.Crashes = c.crashesSince(c.clock(), &crashes)
 	var limitCursor, pinCursor uint64
 	f.Limits = c.limitsSince(&limitCursor)
 	f.Pinned = c.pinned.since(c.clock(), &pinCursor)
@@ -392,16 +391,14 @@
 	c.cacheLock.Lock()
 	defer c.cacheLock.Unlock()
 	now := c.clock()
-	f := c.stampFrame(now, feed.Frame{Evidence: c.evidenceSince(&c.evidenceSent), Limits: c.limitsSince(&c.limitsSent), Pinned: c.pinned.since(now, &c.pinnedSent)})
-	c.crashesSince(now, &c.crashesSent, &f)
-	return f
+	return c.stampFrame(now, feed.Frame{Evidence: c.evidenceSince(&c.evidenceSent), Crashes: c.crashesSince(now, &c.crashesSent), Limits: c.limitsSince(&c.limitsSent), Pinned: c.pinned.since(now, &c.pinnedSent)})
 }
 
 // HandleFrame applies a frame from a follower.
 func (c *Controller) HandleFrame(f feed.Frame) {
 	c.mergeEvidence(f.Evidence)
 	now := c.clock()
-	c.mergeCrashes(now, f)
+	c.mergeCrashes(now, f.Crashes)
 	c.limits.Merge(now, f.Limits)
 	c.pinned.receive(now, f.Pinned)
 	if f.Load != nil {
