Hand requests over to another router while no endpoint is reached

Cause: a router has no way to serve a request but its own connections to endpoints, and stays ready, as it must: the balancer uses all of a zone again once most of it is not. Class: a dependency that is lost at some members only, answered as if it were lost to all.

route.Reach tells that a service is reached no more: attempts at three of its endpoints ended without contact since the last contact with any. Requests then go to another router of the region, at its listener handoff, which authenticates, places and retries them as its own; it gets no more attempts than are left, and hands nothing on. The state machine treats it as an attempt: a request that must not run twice is handed over only while it cannot have run, a stream is resumed through the next router. A router that reaches no endpoint either says so at once. Connections are tried now and then; one that comes about is proved by one request. Entries of routers tell the listener and the zone; an entry of an earlier program is written again.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -107,12 +107,19 @@
 	}
 	ready := &http.Server{Handler: r.readinessHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	admin := &http.Server{Handler: r.adminHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	failed := make(chan error, 4)
+	handoffs := &http.Server{
+		Handler: r.server.Handoffs(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(r.log.Named("handoffs")),
+	}
+	failed := make(chan error, 5)
 	for _, l := range []struct {
 		name    string
 		address string
 		server  *http.Server
-	}{{"callers", s.Listen, callers}, {"readiness", s.Ready, ready}, {"metrics", s.Admin, admin}} {
+	}{{"callers", s.Listen, callers}, {"readiness", s.Ready, ready}, {"metrics", s.Admin, admin}, {"handoffs", s.Handoff, handoffs}} {
+		if l.address == "" {
+			continue // not set
+		}
 		listener, err := net.Listen("tcp4", l.address)
 		if err != nil {
 			return fmt.Errorf("listen for %s on %q: %w", l.name, l.address, err)
@@ -136,7 +143,7 @@
 		return fmt.Errorf("serve: %w", err)
 	case <-ctx.Done():
 	}
-	r.shutDown(callers, r.settings.Load().Times.Grace)
+	r.shutDown(r.settings.Load().Times.Grace, callers, handoffs)
 	_ = ready.Close() // no probe needs to complete
 	_ = admin.Close() // as above
 	return nil
@@ -144,7 +151,7 @@
 
 // shutDown fails readiness, waits until the load balancer has moved callers away,
 // and then waits within the grace period for requests in progress to complete.
-func (r *Router) shutDown(callers *http.Server, grace time.Duration) {
+func (r *Router) shutDown(grace time.Duration, servers ...*http.Server) {
 	r.stopping.Store(true)
 	r.server.Drain()
 	started := r.clock()
@@ -153,13 +160,28 @@
 	remaining := grace - shutdownMargin - r.clock().Sub(started)
 	ctx, cancel := context.WithTimeout(context.Background(), max(0, remaining))
 	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
+	if err := shutDownAll(ctx, servers); err != nil {
 		r.log.Warn("stopped with requests in progress", zap.Int64("running", r.server.ActiveRequests()), zap.Error(err))
 		return
 	}
 	r.log.Info("stopped", zap.Duration("took", r.clock().Sub(started)))
 }
 
+// shutDownAll shuts servers down at the same time, and returns the first error.
+func shutDownAll(ctx context.Context, servers []*http.Server) error {
+	results := make(chan error, len(servers))
+	for _, s := range servers {
+		go func() { results <- s.Shutdown(ctx) }()
+	}
+	var first error
+	for range servers {
+		if err := <-results; err != nil && first == nil {
+			first = fmt.Errorf("shut a listener down: %w", err)
+		}
+	}
+	return first
+}
+
 // readinessHandler serves the load balancer's readiness probe.
 func (r *Router) readinessHandler() http.Handler {
 	mux := http.NewServeMux()
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -55,7 +55,7 @@
 func steerSettings(s setup.Relay) syncer.Settings {
 	scale := func(d time.Duration, fraction float64) time.Duration { return time.Duration(float64(d) * fraction) }
 	return syncer.Settings{
-		Router: s.Router, FeedAddress: s.Feed, Bootstrap: s.First, Priority: feedPriority(s.Limits), RemovalGrace: s.Times.Lapse, TrialShare: s.Exposure, TrialSlack: s.Slack, SessionTTL: s.Times.Session,
+		Router: s.Router, Zone: s.Zone, FeedAddress: s.Feed, Handoff: s.Handoff, Bootstrap: s.First, Priority: feedPriority(s.Limits), RemovalGrace: s.Times.Lapse, TrialShare: s.Exposure, TrialSlack: s.Slack, SessionTTL: s.Times.Session,
 		Endpoints: syncer.WatchTiming{Timeout: scale(s.Times.Drain, endpointWatchFraction), MinInterval: scale(s.Times.Drain, endpointWatchFraction)},
 		Configs:   syncer.WatchTiming{Timeout: scale(s.Times.Apply, configWatchFraction)},
 		Orders:    syncer.WatchTiming{Timeout: scale(s.Times.Cutoff, orderWatchFraction)},
--- a/internal/feed/membership.go
+++ b/internal/feed/membership.go
@@ -26,7 +26,11 @@
 	Address string         `json:"address"` // host:port at which it serves followers
 	// Priority ranks routers by their capacity to serve others. Routers with
 	// the highest priority are elected as readers.
-	Priority int `json:"power"`
+	Priority int          `json:"power"`
+	Zone     ident.ZoneID `json:"zone,omitempty"`
+	// Handoff is the host:port at which it takes requests that others hand over, "" if
+	// it takes none.
+	Handoff string `json:"handoff,omitempty"`
 }
 
 // Plan states whether a router reads the store itself, follows another, or both.
--- a/internal/proxy/action.go
+++ b/internal/proxy/action.go
@@ -71,6 +71,7 @@
 	Outcome        route.Outcome
 	Started        time.Time     // when it was dispatched
 	Failed         bool          // the endpoint ran the request and failed
+	Handoff        bool          // Endpoint stands for another router
 	Complete       bool          // the response came whole
 	Disconnected   bool          // the connection broke before the response was complete
 	Unresponsive   bool          // abandoned because no response arrived in time
--- a/internal/proxy/event.go
+++ b/internal/proxy/event.go
@@ -23,6 +23,9 @@
 	BaseEstimate   time.Duration // Expected before correction by observed latencies
 	ServiceTime    time.Duration // part of BaseEstimate spent processing, without queueing
 	UncachedTokens ident.Tokens  // predicted prompt tokens missing from the prefix cache
+	// Handoff reports that Endpoint stands for another router, to which the request is
+	// handed over. That router makes the attempts.
+	Handoff bool
 }
 
 // NoEndpoint reports that no endpoint can take the attempt now.
--- a/internal/proxy/machine.go
+++ b/internal/proxy/machine.go
@@ -44,6 +44,7 @@
 	baseEstimate   time.Duration
 	serviceTime    time.Duration
 	uncachedTokens ident.Tokens
+	handoff        bool // endpoint stands for another router
 	running        bool
 	succeeded      bool      // its endpoint may be used again
 	hangDeadline   time.Time // when to try another endpoint if no response has arrived, zero for never
@@ -62,6 +63,9 @@
 // Attempts returns the number of attempts dispatched so far.
 func (m *Machine) Attempts() int { return len(m.attempts) }
 
+// AttemptsLeft returns the number of endpoints that may still get the request.
+func (m *Machine) AttemptsLeft() int { return max(1, m.request.Route.MaxAttempts-m.reached) }
+
 // Step applies an event and returns the resulting actions, in order.
 func (m *Machine) Step(now time.Time, e Event) []Action {
 	switch x := e.(type) {
@@ -129,9 +133,13 @@
 	m.selecting = false
 	a := attempt{
 		endpoint: e.Endpoint, model: m.currentModel(), started: now,
-		expected: e.Expected, baseEstimate: e.BaseEstimate, serviceTime: e.ServiceTime, uncachedTokens: e.UncachedTokens, running: true,
+		expected: e.Expected, baseEstimate: e.BaseEstimate, serviceTime: e.ServiceTime, uncachedTokens: e.UncachedTokens, running: true, handoff: e.Handoff,
 	}
 	actions := []Action{Dispatch{Attempt: e.Attempt, Endpoint: e.Endpoint, Model: a.model, LastEventID: m.lastEventID}}
+	if a.handoff {
+		m.attempts = append(m.attempts, a)
+		return actions
+	}
 	if at, ok := hangDeadline(now, m.request, e.Expected); ok && m.hasAttemptsLeft() {
 		a.hangDeadline = at
 		actions = append(actions, SetTimer{At: at})
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -43,6 +43,7 @@
 type ResponseHead struct {
 	Status        int
 	NotRun        bool          // the endpoint guarantees that it did not run the request
+	Unreached     bool          // a router that it was handed over to reaches no endpoint either
 	WrongEndpoint bool          // the responder is not the addressed endpoint
 	Signed        bool          // the response carries the endpoint's signature
 	Encoded       bool          // the body was re-encoded on the way
--- a/internal/proxy/response.go
+++ b/internal/proxy/response.go
@@ -15,6 +15,8 @@
 	}
 	h := e.Head
 	switch {
+	case a.handoff && h.NotRun:
+		return m.handleHandoffRefused(now, e)
 	case h.NotRun || h.WrongEndpoint:
 		return m.handleNotRun(now, e)
 	case h.Encoded || h.Status < 300 && !h.Signed:
@@ -25,7 +27,7 @@
 	a.firstLatency = now.Sub(a.started)
 	failed := h.Status >= http.StatusInternalServerError
 	actions := completed(m.finishAttempt(e.Attempt, outcomeOf(failed), failed))
-	if failed && m.mayRetry(now) {
+	if failed && !a.handoff && m.mayRetry(now) {
 		return append(actions, m.retryWithinBudget(now)...)
 	}
 	if m.streamOpen {
@@ -83,6 +85,16 @@
 	return append(actions, m.fail(now, ReasonOverloaded, e.Head.RetryAfter)...)
 }
 
+// handleHandoffRefused processes a refusal by a router to which the request was handed
+// over. One that reaches no endpoint either leaves it to the next.
+func (m *Machine) handleHandoffRefused(now time.Time, e ResponseReceived) []Action {
+	actions := m.finishAttempt(e.Attempt, route.OutcomeUnreachable, false)
+	if e.Head.Unreached && m.hasTimeLeft(now) && !m.selecting {
+		return append(actions, m.selectEndpoint()...)
+	}
+	return append(actions, m.fail(now, ReasonOverloaded, e.Head.RetryAfter)...)
+}
+
 // handleFailure processes an attempt that ended without a complete response.
 func (m *Machine) handleFailure(now time.Time, e AttemptFailed) []Action {
 	a := &m.attempts[e.Attempt]
@@ -99,7 +111,7 @@
 		report.Disconnected = true
 		actions[0] = report
 		m.mayHaveRun = true
-	} else {
+	} else if !a.handoff {
 		m.reached--
 		m.undelivered++
 	}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -56,7 +56,7 @@
 // shouldEscalate reports whether to discard the answer whose head has arrived and
 // query the next model.
 func (m *Machine) shouldEscalate(now time.Time, h HeadReceived) (EscalationFactors, bool) {
-	if m.NextModel() == "" {
+	if m.NextModel() == "" || m.attempts[h.Attempt].handoff {
 		return EscalationFactors{}, false
 	}
 	f := EscalationFactors{
--- a/internal/proxy/termination.go
+++ b/internal/proxy/termination.go
@@ -85,7 +85,7 @@
 	a.running = false
 	a.succeeded = outcome == route.OutcomeDone
 	return []Action{Report{
-		Attempt: n, Endpoint: a.endpoint, Model: a.model, Outcome: outcome, Started: a.started, Failed: failed,
+		Attempt: n, Endpoint: a.endpoint, Handoff: a.handoff, Model: a.model, Outcome: outcome, Started: a.started, Failed: failed,
 		FirstLatency: a.firstLatency, BaseEstimate: a.baseEstimate, ServiceTime: a.serviceTime, UncachedTokens: a.uncachedTokens,
 	}}
 }
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -42,6 +42,9 @@
 	nextDelay     time.Duration // expected time to the next model's response
 	sentEvents    int
 	aborted       bool
+	handedOver    bool             // by another router
+	handoffs      []ident.RouterID // that the request was handed over to
+	unreached     int              // endpoints that it did not reach
 }
 
 // placement records where an attempt was placed, and when it was answered.
@@ -91,7 +94,9 @@
 	c.events, c.done = make(chan proxy.Event, 4), make(chan struct{})
 	defer close(c.done)
 	budget := s.retryBudget(q.Service)
-	budget.RecordFirst(c.arrived)
+	if !c.handedOver {
+		budget.RecordFirst(c.arrived)
+	}
 	c.state = proxy.New(q, proxy.CascadeModels(q), budget)
 	c.timer = time.NewTimer(time.Hour)
 	defer c.timer.Stop()
@@ -105,6 +110,7 @@
 				c.step(proxy.FoundFatal{Reason: reason, RetryAfter: fatalRetryAfter})
 			}
 		case e := <-c.events:
+			e = c.interpretHandoff(e)
 			c.recordEvent(e)
 			c.step(c.addEscalationEstimate(e))
 		case <-c.timer.C:
@@ -166,7 +172,11 @@
 		head.Urgency = c.state.Urgency(d)
 	}
 	h := endToEndHeaders(c.r.Header)
-	c.server.codec.SetAttemptHeaders(h, head)
+	if isRouter(d.Endpoint.ID) {
+		c.setHandoffHeaders(h, d, head.Remaining)
+	} else {
+		c.server.codec.SetAttemptHeaders(h, head)
+	}
 	ctx, cancel := attemptContext(c.request.Deadline)
 	x := &exchange{
 		attempt: d.Attempt, requestID: c.request.ID, endpoint: d.Endpoint, method: c.r.Method,
@@ -193,9 +203,11 @@
 func (c *call) recordEvent(e proxy.Event) {
 	switch x := e.(type) {
 	case proxy.HeadReceived:
+		c.recordContact(x.Attempt, true)
 		c.recordAnswer(x.Attempt)
 		c.recordNotices(x.Attempt, x.Head)
 	case proxy.ResponseReceived:
+		c.recordContact(x.Attempt, true)
 		c.recordAnswer(x.Attempt)
 		c.recordNotices(x.Attempt, x.Head)
 		if x.Head.NotRun || x.Head.WrongEndpoint {
@@ -203,10 +215,13 @@
 				zap.String("endpoint", string(c.placements[x.Attempt].endpoint)), zap.Duration("after", x.Head.RetryAfter))
 		}
 	case proxy.StreamEnded:
-		if p := c.placements[x.Attempt]; x.Attempt == c.streamAttempt { // otherwise part of the response came from another attempt
+		if p := c.placements[x.Attempt]; x.Attempt == c.streamAttempt && !isRouter(p.endpoint) { // otherwise part of the response came from another attempt
 			c.server.estimator.RecordGeneration(p.model, c.request.MaxOutputTokens, c.server.clock().Sub(p.answered))
 		}
 	case proxy.AttemptFailed:
+		if c.exchanges[x.Attempt].began.IsZero() {
+			c.recordContact(x.Attempt, false)
+		}
 		c.warn("attempt broke", zap.Int("attempt", int(x.Attempt)), zap.Bool("sent", x.Sent),
 			zap.String("endpoint", string(c.placements[x.Attempt].endpoint)), zap.Error(c.exchanges[x.Attempt].cause))
 	}
@@ -214,8 +229,8 @@
 
 // recordNotices records what an endpoint says of itself in an answer.
 func (c *call) recordNotices(n proxy.Attempt, h proxy.ResponseHead) {
-	if h.WrongEndpoint {
-		return // the answer is another endpoint's
+	if h.WrongEndpoint || isRouter(c.exchanges[n].endpoint.ID) {
+		return // the answer is another endpoint's, or another router has seen it
 	}
 	now, e := c.server.clock(), c.exchanges[n].endpoint
 	c.server.control.ObserveLimit(now, e, h.Limited, h.Limit)
@@ -229,7 +244,7 @@
 
 func (c *call) recordAnswer(n proxy.Attempt) {
 	p := &c.placements[n]
-	if !p.hasAnswer {
+	if !p.hasAnswer && !isRouter(p.endpoint) {
 		p.hasAnswer, p.answered = true, c.server.clock()
 		c.server.estimator.RemovePending(p.endpoint, p.model, p.work)
 	}
@@ -241,7 +256,11 @@
 	now := c.server.clock()
 	c.recordAnswer(r.Attempt)
 	s := c.server
+	if r.Handoff {
+		return
+	}
 	if r.Unresponsive {
+		c.recordContact(r.Attempt, false)
 		c.warn("attempt given up", zap.Int("attempt", int(r.Attempt)), zap.String("endpoint", string(r.Endpoint.ID)),
 			zap.Duration("silent", r.Duration), zap.Duration("expected", r.BaseEstimate))
 	}
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -37,6 +37,13 @@
 	Urgency     int           // 0 is the most urgent; negative if not to be sent
 }
 
+// HandoffHead holds the values of the headers that are set when a caller's request is
+// handed over to another router.
+type HandoffHead struct {
+	Remaining   time.Duration // time until the deadline of the request
+	LastEventID int64         // event after which the stream resumes, proxy.NoEvent for none
+}
+
 // HeaderCodec translates HTTP headers to and from the router's types.
 type HeaderCodec interface {
 	// ParseRequest parses the headers of a caller's request. Its error is sent to
@@ -44,6 +51,9 @@
 	ParseRequest(h http.Header) (RequestHead, error)
 	// SetAttemptHeaders sets the headers of an attempt on a copy of the caller's.
 	SetAttemptHeaders(h http.Header, a AttemptHead)
+	// SetHandoffHeaders sets the headers of a request that is handed over to another
+	// router on a copy of the caller's.
+	SetHandoffHeaders(h http.Header, a HandoffHead)
 	// ParseResponse parses the status and the headers of an endpoint's response.
 	ParseResponse(status int, h http.Header) proxy.ResponseHead
 	// MatchesRequest reports whether a response belongs to the request with an id.
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -54,6 +54,13 @@
 	}
 }
 
+func (testCodec) SetHandoffHeaders(h http.Header, a relay.HandoffHead) {
+	h.Set("Left", fmt.Sprint(a.Remaining.Milliseconds()))
+	if a.LastEventID != proxy.NoEvent {
+		h.Set("After", fmt.Sprint(a.LastEventID))
+	}
+}
+
 func (testCodec) ParseResponse(status int, h http.Header) proxy.ResponseHead {
 	limit, err := strconv.ParseFloat(h.Get("Limit"), 64)
 	wait, _ := time.ParseDuration(h.Get("Retry-After")) // 0 if not given
@@ -77,6 +84,7 @@
 // raw connection and the number of the request.
 type scriptedEndpoint struct {
 	listener net.Listener
+	address  string // of an endpoint that does not listen
 	script   func(conn net.Conn, r *http.Request, n int)
 	lock     sync.Mutex
 	requests []*http.Request
@@ -90,21 +98,32 @@
 	Expect(err).NotTo(HaveOccurred())
 	p := &scriptedEndpoint{listener: l, script: script}
 	DeferCleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			p.lock.Lock()
-			p.conns++
-			p.lock.Unlock()
-			go p.serve(conn)
-		}
-	}()
+	go p.accept(l)
 	return p
 }
 
+// accept serves the connections of a listener until it is closed.
+func (p *scriptedEndpoint) accept(l net.Listener) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		p.lock.Lock()
+		p.conns++
+		p.lock.Unlock()
+		go p.serve(conn)
+	}
+}
+
+// announced returns the address in the endpoint's entry.
+func (p *scriptedEndpoint) announced() string {
+	if p.listener == nil {
+		return p.address
+	}
+	return p.listener.Addr().String()
+}
+
 // recordingReader records the bytes read through it.
 type recordingReader struct {
 	r        io.Reader
@@ -161,6 +180,7 @@
 	runs           *poison.RunTable
 	fatalPart      string
 	crashesChanged chan struct{}
+	peers          []route.Peer // set before the first request
 	limits         *route.LimitTable
 }
 
@@ -231,6 +251,8 @@
 
 func (f *routerFixture) RouterCount() int { return 1 }
 
+func (f *routerFixture) Peers() []route.Peer { return f.peers }
+
 func newFixture(r paths.Route, endpoints ...*scriptedEndpoint) *routerFixture {
 	r.ID, r.Host, r.Prefix = "r", "127.0.0.1", "/x/"
 	r.Split = []paths.WeightedService{{Service: "s", Weight: 1}}
@@ -243,7 +265,7 @@
 	list := world.EndpointsChanged{Full: true}
 	for i, p := range endpoints {
 		list.Present = append(list.Present, world.Announcement{Endpoint: world.Endpoint{
-			ID: ident.EndpointID(fmt.Sprintf("e%d", i)), Service: "s", Address: p.listener.Addr().String(), Zone: "z", Version: "v", Slots: 4,
+			ID: ident.EndpointID(fmt.Sprintf("e%d", i)), Service: "s", Address: p.announced(), Zone: "z", Version: "v", Slots: 4,
 		}})
 	}
 	w.Step(now, list)
--- /dev/null
+++ b/internal/relay/handoff_test.go
@@ -0,0 +1,207 @@
+package relay_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/marigoldscale/marigoldscale/internal/paths"
+	"github.com/marigoldscale/marigoldscale/internal/route"
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+// closedAddress returns an address at which connections are refused.
+func closedAddress() string {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// hangingAddress returns an address at which connections neither come about nor fail.
+func hangingAddress() string {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { _ = syscall.Close(fd) })
+	Expect(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}})).To(Succeed())
+	Expect(syscall.Listen(fd, 0)).To(Succeed())
+	name, err := syscall.Getsockname(fd)
+	Expect(err).NotTo(HaveOccurred())
+	address := fmt.Sprint("127.0.0.1:", name.(*syscall.SockaddrInet4).Port)
+	for range 2 { // fill the queue of connections that nobody accepts
+		if conn, err := net.DialTimeout("tcp4", address, 100*time.Millisecond); err == nil {
+			DeferCleanup(func() { _ = conn.Close() })
+		}
+	}
+	return address
+}
+
+// unreachable returns endpoints at addresses of a kind.
+func unreachable(n int, address func() string) []*scriptedEndpoint {
+	var list []*scriptedEndpoint
+	for range n {
+		list = append(list, &scriptedEndpoint{address: address()})
+	}
+	return list
+}
+
+// handOverTo lets a router hand requests over to others.
+func (f *routerFixture) handOverTo(others ...*routerFixture) {
+	for i, other := range others {
+		s := httptest.NewServer(other.relay.Handoffs())
+		DeferCleanup(s.Close)
+		f.peers = append(f.peers, route.Peer{Router: ident.RouterID(fmt.Sprint("other", i)), Address: strings.TrimPrefix(s.URL, "http://")})
+	}
+}
+
+var _ = Describe("A router that reaches no endpoint", func() {
+	answering := func() *scriptedEndpoint {
+		return newScriptedEndpoint(func(conn net.Conn, r *http.Request, _ int) {
+			writeString(conn, httpResponse(r.Header.Get("Id"), "yes"))
+		})
+	}
+	onceRoute := paths.Route{Kind: paths.KindOnce, MaxAttempts: 1}
+
+	DescribeTable("serves requests through another, also those that must not run twice", func(address func() string, r func() paths.Route, within time.Duration) {
+		p := answering()
+		cut, whole := newFixture(r(), unreachable(4, address)...), newFixture(r(), p)
+		cut.handOverTo(whole)
+		cut.call("POST", "first", "body") // finds out
+		for i := range 5 {
+			began := time.Now()
+			got := cut.call("POST", fmt.Sprint("a", i), "body")
+			Expect(got.status).To(Equal(200))
+			Expect(got.body).To(Equal("yes"))
+			Expect(got.header.Get("Proof")).To(Equal("p"))
+			Expect(time.Since(began)).To(BeNumerically("<", within))
+		}
+		Expect(p.requestCount()).To(BeNumerically(">=", 5))
+		last := p.requests[p.requestCount()-1]
+		Expect(last.Header.Get("Team")).To(Equal("ledger"))
+		Expect(last.Header.Get("Key")).To(BeEmpty())
+		Expect(last.Header.Get("Router-Attempts")).To(BeEmpty())
+		Expect(last.RequestURI).To(Equal("/x/y%2Fz?q=1"))
+	},
+		Entry("connections are refused", closedAddress, func() paths.Route { return idempotentRoute }, 500*time.Millisecond),
+		Entry("connections are refused, once", closedAddress, func() paths.Route { return onceRoute }, 500*time.Millisecond),
+		Entry("connections hang", hangingAddress, func() paths.Route { return idempotentRoute }, 1900*time.Millisecond),
+	)
+
+	It("refuses at once, as not run, if no other reaches one either", func() {
+		a, b := newFixture(onceRoute, unreachable(4, closedAddress)...), newFixture(onceRoute, unreachable(4, closedAddress)...)
+		a.handOverTo(b)
+		b.handOverTo(a)
+		for i := range 4 {
+			began := time.Now()
+			got := a.call("POST", fmt.Sprint("a", i), "body")
+			Expect(got.status).To(Equal(503))
+			Expect(got.header.Get("Retry-After")).NotTo(BeEmpty())
+			Expect(got.header.Get("Router-Unreached")).To(BeEmpty())
+			Expect(time.Since(began)).To(BeNumerically("<", time.Second))
+		}
+	})
+
+	It("asks the next router if one reaches no endpoint", func() {
+		p := answering()
+		cut := newFixture(onceRoute, unreachable(4, closedAddress)...)
+		others := []*routerFixture{}
+		for range 3 {
+			others = append(others, newFixture(onceRoute, unreachable(4, closedAddress)...))
+		}
+		cut.handOverTo(append(others, newFixture(onceRoute, p))...)
+		for i := range 6 {
+			Expect(cut.call("POST", fmt.Sprint("a", i), "body").status).To(Equal(200))
+		}
+		Expect(p.requestCount()).To(Equal(6))
+	})
+
+	It("does not send a request again that may have run behind the other router", func() {
+		p := newScriptedEndpoint(func(conn net.Conn, _ *http.Request, _ int) { _ = conn.Close() })
+		cut := newFixture(onceRoute, unreachable(4, closedAddress)...)
+		cut.handOverTo(newFixture(onceRoute, p), newFixture(onceRoute, p))
+		Expect(cut.call("POST", "a", "body").status).To(Equal(502))
+		Expect(p.requestCount()).To(Equal(1))
+	})
+
+	It("passes on what the other router says of a request that has not run", func() {
+		p := newScriptedEndpoint(func(conn net.Conn, _ *http.Request, _ int) {
+			writeString(conn, "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		})
+		cut := newFixture(onceRoute, unreachable(4, closedAddress)...)
+		cut.handOverTo(newFixture(onceRoute, p))
+		got := cut.call("POST", "a", "body")
+		Expect(got.status).To(Equal(503))
+		Expect(got.header.Get("Retry-After")).NotTo(BeEmpty())
+	})
+
+	It("forwards a stream, and resumes it through another router", func() {
+		event := func(i int) string { return fmt.Sprintf("id: %d\ndata: %d\n\n", i, i) }
+		streaming := func(from, to int, whole bool) *scriptedEndpoint {
+			return newScriptedEndpoint(func(conn net.Conn, r *http.Request, _ int) {
+				after := -1
+				_, _ = fmt.Sscan(r.Header.Get("After"), &after)
+				writeString(conn, "HTTP/1.1 200 OK\r\nProof: p\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+				for i := max(from, after+1); i < to; i++ {
+					writeString(conn, fmt.Sprintf("%x\r\n%s\r\n", len(event(i)), event(i)))
+				}
+				if whole {
+					writeString(conn, "0\r\n\r\n")
+					return
+				}
+				_ = conn.Close()
+			})
+		}
+		r := paths.Route{Kind: paths.KindStream, Resume: true, MaxAttempts: 3}
+		broken, whole := newFixture(r, streaming(0, 2, false)), newFixture(r, streaming(0, 5, true))
+		cut := newFixture(r, unreachable(4, closedAddress)...)
+		cut.handOverTo(broken, whole)
+		for i := range 4 { // some begin at the one, some at the other
+			got := cut.call("POST", fmt.Sprint("a", i), "body")
+			Expect(got.err).NotTo(HaveOccurred())
+			Expect(got.body).To(Equal(event(0) + event(1) + event(2) + event(3) + event(4)))
+		}
+	})
+
+	It("leaves the other router no more attempts than it has itself", func() {
+		p := newScriptedEndpoint(func(conn net.Conn, _ *http.Request, _ int) { _ = conn.Close() })
+		q := newScriptedEndpoint(func(conn net.Conn, _ *http.Request, _ int) { _ = conn.Close() })
+		r := idempotentRoute
+		r.MaxAttempts = 2
+		endpoints := append(unreachable(3, closedAddress), p)
+		cut := newFixture(r, endpoints...)
+		cut.handOverTo(newFixture(r, q, q, q))
+		for i := range 6 {
+			before := p.requestCount() + q.requestCount()
+			Expect(cut.call("POST", fmt.Sprint("a", i), fmt.Sprint("body ", i)).status).To(Equal(502))
+			Expect(p.requestCount() + q.requestCount() - before).To(BeNumerically("<=", 2))
+		}
+	})
+
+	It("sends to endpoints again once it reaches them", func() {
+		p, q := answering(), answering()
+		closed := unreachable(3, closedAddress)
+		cut := newFixture(idempotentRoute, closed...)
+		cut.handOverTo(newFixture(idempotentRoute, q))
+		Expect(cut.call("POST", "a", "body").status).To(Equal(200))
+		Expect(p.requestCount()).To(BeZero())
+		for _, x := range closed { // they come back
+			l, err := net.Listen("tcp4", x.address)
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(func() { _ = l.Close() })
+			go p.accept(l)
+		}
+		n := 0
+		Eventually(func() int {
+			n++
+			Expect(cut.call("POST", fmt.Sprint("b", n), "body").status).To(Equal(200))
+			return p.requestCount()
+		}, "4s", "50ms").Should(BeNumerically(">", 3))
+	})
+})
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -21,6 +21,9 @@
 		c.step(proxy.NoEndpoint{Attempt: s.Attempt, RetryAfter: fatalRetryAfter, Fatal: reason})
 		return
 	}
+	if c.serveElsewhere(now, s.Attempt) {
+		return
+	}
 	view := c.server.control.View()
 	version := c.server.control.SelectVersion(now, view, c.request.Service, c.request.Seed, c.sessionKey())
 	request := c.placementRequest(now, s.Model, s.Exclude)
@@ -31,6 +34,9 @@
 		decision = c.choose(now, &candidates, request)
 	}
 	if decision.Index < 0 {
+		if c.unreached > 0 && c.handOver(now, s.Attempt) {
+			return
+		}
 		c.step(proxy.NoEndpoint{
 			Attempt: s.Attempt, RetryAfter: candidates.retryAfter(decision), TooLate: decision.TooLate, Limited: candidates.limited > 0,
 		})
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -131,6 +131,11 @@
 		p.reuses.Inc(1)
 		return pc, nil
 	}
+	return p.dial(ctx, e)
+}
+
+// dial returns a new connection to an endpoint.
+func (p *ConnPool) dial(ctx context.Context, e *world.Endpoint) (*poolConn, error) {
 	p.dials.Inc(1)
 	conn, err := p.dialer.DialContext(ctx, "tcp4", e.Address)
 	if err != nil {
@@ -141,6 +146,23 @@
 	return pc, nil
 }
 
+// probe reports whether a new connection to an endpoint comes about and stays open for
+// probeSettle. It keeps the connection for a request.
+func (p *ConnPool) probe(ctx context.Context, e *world.Endpoint) bool {
+	pc, err := p.dial(ctx, e)
+	if err != nil {
+		return false
+	}
+	select {
+	case <-pc.firstByte:
+		_ = pc.conn.Close() // closed by the peer, or received unexpected data
+		return false
+	case <-time.After(probeSettle):
+	}
+	p.putWaiting(pc, maxIdleNoRepeat)
+	return true
+}
+
 // takeIdle removes and returns the idle connection that was used last, or nil if
 // none may be reused.
 func (p *ConnPool) takeIdle(key poolKey, noRepeat bool) *poolConn {
@@ -207,17 +229,24 @@
 		return
 	}
 	_ = pc.conn.SetDeadline(time.Time{}) // fails only on a closed connection, which awaitFirstByte notices
+	if p.putWaiting(pc, maxIdle) {
+		go p.awaitFirstByte(pc)
+	}
+}
+
+// putWaiting adds a connection to the idle ones. It closes it and returns false if the
+// pool is full.
+func (p *ConnPool) putWaiting(pc *poolConn, maxIdle time.Duration) bool {
 	p.lock.Lock()
+	defer p.lock.Unlock()
 	now := p.clock()
 	if len(p.idle[pc.key]) >= maxIdleConns {
-		p.lock.Unlock()
 		_ = pc.conn.Close() // the pool is full
-		return
+		return false
 	}
 	pc.inUse, pc.idleSince, pc.reusableUntil = false, now, now.Add(maxIdle)
 	p.idle[pc.key] = append(p.idle[pc.key], pc)
-	p.lock.Unlock()
-	go p.awaitFirstByte(pc)
+	return true
 }
 
 // Sweep closes idle connections that may no longer be reused, and those to
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -49,6 +49,9 @@
 	h["Date"] = nil
 	h.Set("Content-Type", "application/json")
 	c.server.codec.SetRequestID(h, c.head.ID)
+	if c.unreached > 0 && status == http.StatusServiceUnavailable {
+		c.markUnreached()
+	}
 	if after > 0 {
 		c.server.codec.SetRetryAfter(h, after)
 	}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -82,6 +82,8 @@
 	// RouterCount returns an upper bound on the number of routers that share the
 	// endpoints.
 	RouterCount() int
+	// Peers returns the other routers that requests may be handed over to.
+	Peers() []route.Peer
 }
 
 // Server serves callers. It is safe for concurrent use.
@@ -96,6 +98,8 @@
 	coldLimiter *route.ColdLimiter
 	limiter     *route.SharedLimiter
 	pauses      *route.Pauses
+	reach       *route.Reach
+	handoffs    *route.Handoffs
 	log         *zap.Logger
 	metrics     *metric.Set
 	clock       func() time.Time
@@ -115,7 +119,7 @@
 	return &Server{
 		settings: s, codec: codec, control: control,
 		pool: NewConnPool(set.Registry(), clock), loads: route.NewLoadTracker(), estimator: route.NewEstimator(),
-		prefixes: prefixes, coldLimiter: route.NewColdLimiter(string(s.Router)), limiter: route.NewSharedLimiter(s.Router), pauses: route.NewPauses(), log: log, metrics: set, clock: clock,
+		prefixes: prefixes, coldLimiter: route.NewColdLimiter(string(s.Router)), limiter: route.NewSharedLimiter(s.Router), pauses: route.NewPauses(), reach: route.NewReach(), handoffs: route.NewHandoffs(), log: log, metrics: set, clock: clock,
 		retryBudgets: map[ident.ServiceID]*retry.WindowBudget{},
 	}, nil
 }
@@ -142,7 +146,7 @@
 	v := s.control.View()
 	live := func(id ident.EndpointID) bool {
 		_, ok := v.Endpoint(id)
-		return ok
+		return ok || isRouter(id)
 	}
 	s.pool.Sweep(now, live)
 	s.estimator.Retain(live)
@@ -174,18 +178,22 @@
 	retryExtraFraction = 0.8
 )
 
-// ServeHTTP serves one request.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+// ServeHTTP serves one request of a caller.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.serve(w, r, false) }
+
+// serve serves one request of a caller, or one that another router hands over.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, handedOver bool) {
 	s.activeRequests.Add(1)
 	defer s.activeRequests.Add(-1)
 	now := s.clock()
 	head, err := s.codec.ParseRequest(r.Header)
-	c := &call{server: s, w: w, r: r, head: head, arrived: now}
+	c := &call{server: s, w: w, r: r, head: head, arrived: now, handedOver: handedOver}
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	view := s.control.View()
 	if view.Config == nil || !view.Ready {
+		c.markUnreached()
 		c.refuse(http.StatusServiceUnavailable, notReadyRetryAfter, "not ready")
 		return
 	}
@@ -200,6 +208,9 @@
 	if !c.readBody(view.Config.Limits) {
 		return
 	}
+	if handedOver {
+		c.limitAttempts(&request)
+	}
 	c.run(r.Context(), request)
 }
 
--- /dev/null
+++ b/internal/route/reach.go
@@ -0,0 +1,124 @@
+package route
+
+import (
+	"sync"
+	"time"
+
+	"github.com/marigoldscale/marigoldscale/pkg/ident"
+)
+
+const (
+	// reachMemory is how long an attempt without contact counts.
+	reachMemory = 3 * time.Second
+	// reachEndpoints is the number of endpoints without contact from which the links
+	// to a service count as lost, if it has as many.
+	reachEndpoints = 3
+	// reachProbeInterval is the time between two attempts to reach a service again.
+	reachProbeInterval = 400 * time.Millisecond
+	// trialProbes is the number of successive connections to a lost service after which
+	// a request that must not run twice is sent to it. One that may is sent after each.
+	trialProbes = 3
+)
+
+// Reach decides whether this router has lost its links to a service: attempts at several
+// of its endpoints have ended without contact since the last contact with any. It answers
+// partitions in which a router reaches callers, the store and other routers, but no
+// endpoint. It is safe for concurrent use.
+type Reach struct {
+	lock     sync.Mutex
+	services map[ident.ServiceID]*serviceReach
+}
+
+type serviceReach struct {
+	failed map[ident.EndpointID]time.Time // since the last contact with any
+	lost   bool
+	since  time.Time // if lost
+	probed time.Time
+	probes int // connections that came about since it was lost, or since the last trial
+}
+
+// NewReach returns a Reach by which all services are reached.
+func NewReach() *Reach { return &Reach{services: map[ident.ServiceID]*serviceReach{}} }
+
+func (r *Reach) service(id ident.ServiceID) *serviceReach {
+	s := r.services[id]
+	if s == nil {
+		s = &serviceReach{failed: map[ident.EndpointID]time.Time{}}
+		r.services[id] = s
+	}
+	return s
+}
+
+// Contact records that an endpoint of a service was reached. It reports whether the links
+// to the service counted as lost.
+func (r *Reach) Contact(id ident.ServiceID) bool {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	s := r.service(id)
+	lost := s.lost
+	s.lost = false
+	clear(s.failed)
+	return lost
+}
+
+// Fail records an attempt without contact at one of the endpoints of a service, of which
+// there are count. It reports whether the links to the service count as lost from now on.
+func (r *Reach) Fail(now time.Time, id ident.ServiceID, endpoint ident.EndpointID, count int) bool {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	s := r.service(id)
+	s.failed[endpoint] = now
+	for e, at := range s.failed {
+		if now.Sub(at) >= reachMemory {
+			delete(s.failed, e)
+		}
+	}
+	if s.lost || len(s.failed) < min(reachEndpoints, max(1, count)) {
+		return false
+	}
+	s.lost, s.since, s.probed, s.probes = true, now, now, 0
+	return true
+}
+
+// Lost reports whether the links to a service are lost, and for how long they have been.
+func (r *Reach) Lost(now time.Time, id ident.ServiceID) (time.Duration, bool) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	s := r.service(id)
+	if !s.lost {
+		return 0, false
+	}
+	return now.Sub(s.since), true
+}
+
+// ProbeDue reports whether to try to reach a lost service again, and counts that as done.
+func (r *Reach) ProbeDue(now time.Time, id ident.ServiceID) bool {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	s := r.service(id)
+	if !s.lost || now.Sub(s.probed) < reachProbeInterval {
+		return false
+	}
+	s.probed = now
+	return true
+}
+
+// Probed records that a connection to a lost service has come about.
+func (r *Reach) Probed(id ident.ServiceID) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.service(id).probes++
+}
+
+// TakeTrial reports whether a request is to be sent to a lost service, since connections
+// come about again. Its answer shows whether the service is reached.
+func (r *Reach) TakeTrial(id ident.ServiceID, repeatable bool) bool {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	s := r.service(id)
+	if !s.lost || s.probes == 0 || !repeatable && s.probes < trialProbes {
+		return false
+	}
+	s.probes = 0
+	return true
+}
--- a/internal/setup/relay.go
+++ b/internal/setup/relay.go
@@ -17,6 +17,7 @@
 	Ready    string // host:port for the load balancer's readiness checks
 	Admin    string // host:port for metrics
 	Feed     string // host:port at which other routers subscribe to this one's updates
+	Handoff  string // host:port at which other routers hand over requests, "" for none
 	First    bool   // all routers start together for the first time
 	Platform string // URL of the platform's object store
 	Log      Log
@@ -101,6 +102,7 @@
 		input.String("ready", acceptedAddress, "", input.IsAddress, func(s *Relay) *string { return &s.Ready }).AsRequired(),
 		input.String("admin", acceptedAddress, "", input.IsAddress, func(s *Relay) *string { return &s.Admin }).AsRequired(),
 		input.String("feed", acceptedAddress, "", input.IsAddress, func(s *Relay) *string { return &s.Feed }).AsRequired(),
+		input.String("handoff", acceptedAddress, "", input.IsAddress, func(s *Relay) *string { return &s.Handoff }),
 		input.Bool("first", false, func(s *Relay) *bool { return &s.First }),
 		input.String("platform", acceptedURL, "", input.IsURL, func(s *Relay) *string { return &s.Platform }).AsRequired(),
 		input.TableList("zones", "a list of tables with zone and region", "[]", []input.Field[ZoneLocation]{
--- a/internal/syncer/controller.go
+++ b/internal/syncer/controller.go
@@ -60,7 +60,9 @@
 // Settings configure a Controller.
 type Settings struct {
 	Router       ident.RouterID
+	Zone         ident.ZoneID
 	FeedAddress  string        // host:port at which other routers follow this one
+	Handoff      string        // host:port at which other routers hand requests over, "" for none
 	Priority     int           // see feed.Peer
 	Bootstrap    bool          // whether all routers are starting for the first time
 	RemovalGrace time.Duration // see world.Settings
@@ -82,6 +84,7 @@
 	view        atomic.Pointer[world.View]
 	routerCount atomic.Int64
 	routers     atomic.Pointer[[]ident.RouterID]
+	handoffs    atomic.Pointer[[]route.Peer]
 	limits      *route.LimitTable
 	hub         *feed.Hub
 	isRoot      atomic.Bool // whether this router follows no other
@@ -96,7 +99,8 @@
 
 	membershipLock sync.Mutex
 	membership     *feed.Membership
-	entryLost      atomic.Bool // the store lost this router's entry
+	entryLost      atomic.Bool   // the store lost this router's entry
+	entryOld       atomic.Uint64 // version of this router's entry if it tells something else, 0 otherwise
 
 	cacheLock    sync.Mutex // guards the fields below; acquired before lock
 	caches       map[plat.Key]*objectCache
--- a/internal/syncer/parent.go
+++ b/internal/syncer/parent.go
@@ -13,6 +13,7 @@
 
 	"github.com/marigoldscale/marigoldscale/internal/feed"
 	"github.com/marigoldscale/marigoldscale/internal/plat"
+	"github.com/marigoldscale/marigoldscale/internal/route"
 )
 
 const (
@@ -59,7 +60,10 @@
 
 // selfPeer returns the entry under which other routers can follow this one.
 func (c *Controller) selfPeer() feed.Peer {
-	return feed.Peer{Router: c.settings.Router, Address: c.settings.FeedAddress, Priority: c.settings.Priority}
+	return feed.Peer{
+		Router: c.settings.Router, Address: c.settings.FeedAddress, Priority: c.settings.Priority,
+		Zone: c.settings.Zone, Handoff: c.settings.Handoff,
+	}
 }
 
 // register writes this router's entry to the store and reports whether the
@@ -70,8 +74,10 @@
 		c.log.Error("router not entered", zap.Error(err))
 		return false
 	}
-	_, err = c.store.Put(ctx, plat.ClassStatus, routerPrefix+plat.Key(c.settings.Router), value, 0)
+	expect := plat.Version(c.entryOld.Swap(0))
+	_, err = c.store.Put(ctx, plat.ClassStatus, routerPrefix+plat.Key(c.settings.Router), value, expect)
 	if err != nil && !errors.Is(err, plat.ErrConflict) {
+		c.entryOld.CompareAndSwap(0, uint64(expect))
 		c.log.Info("router not entered", zap.Error(err))
 		return false
 	}
@@ -93,15 +99,21 @@
 			continue
 		}
 		c.peers[p.Router] = p
+		if p.Router == c.settings.Router && p != c.selfPeer() {
+			c.entryOld.Store(uint64(o.Version)) // of an earlier program, or at another address
+			c.entryLost.Store(true)
+		}
 		listed = listed || p.Router == c.settings.Router
 	}
 	if x.rewound && !listed {
+		c.entryOld.Store(0)
 		c.entryLost.Store(true)
 	}
 	peers := slices.Collect(maps.Values(c.peers))
 	c.membershipLock.Lock()
 	c.membership.SetPeers(peers)
 	c.membershipLock.Unlock()
+	c.setHandoffs(peers)
 	routers := slices.Sorted(maps.Keys(c.peers))
 	c.routers.Store(&routers)
 	n := int64(max(1, len(peers)))
@@ -110,6 +122,25 @@
 	}
 }
 
+// setHandoffs replaces the routers that requests may be handed over to.
+func (c *Controller) setHandoffs(peers []feed.Peer) {
+	var list []route.Peer
+	for _, p := range peers {
+		if p.Handoff != "" && p.Router != c.settings.Router {
+			list = append(list, route.Peer{Router: p.Router, Zone: p.Zone, Address: p.Handoff})
+		}
+	}
+	c.handoffs.Store(&list)
+}
+
+// Peers returns the other routers that requests may be handed over to.
+func (c *Controller) Peers() []route.Peer {
+	if list := c.handoffs.Load(); list != nil {
+		return *list
+	}
+	return nil
+}
+
 // RouterCount returns an upper bound on the number of routers that share the
 // endpoints.
 func (c *Controller) RouterCount() int { return int(c.routerCount.Load()) }
