Share the slots of brittle endpoints among the routers

A router has no more requests in progress at a brittle endpoint than its part of the slots, which rendezvous hashing divides without messages, so that all routers together never exceed them; one that has turned a request away gets none from that router for a second. What endpoints say travels with the limits that they name. A router whose part is nothing at all of them may have one request in progress, so that its callers are served.

--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -50,6 +50,7 @@
 	Confidence    int           // reported by the model, from 0 to 100; -1 if missing
 	RetryAfter    time.Duration // 0 if missing
 	Leaving       bool          // the endpoint takes no new requests from now on
+	Brittle       bool          // the endpoint falls over if it has to turn many requests away
 	Limited       bool          // the endpoint limits its rate
 	Limit         float64       // requests a second that it accepts from all routers together, if Limited
 }
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -233,15 +233,22 @@
 		return // the answer is another endpoint's, or another router has seen it
 	}
 	now, e := c.server.clock(), c.exchanges[n].endpoint
-	c.server.control.ObserveLimit(now, e, h.Limited, h.Limit)
+	c.server.control.ObserveLimit(now, e, route.EndpointLimit{Limited: h.Limited, Rate: h.Limit, Brittle: h.Brittle})
 	if h.Leaving && !e.Leaving {
 		c.server.control.ObserveLeaving(now, e)
 	}
 	if h.Status == http.StatusServiceUnavailable && h.RetryAfter > 0 {
 		c.server.pauses.Pause(now, e.ID, e.StartedMillis, h.RetryAfter)
 	}
+	if h.NotRun && h.Brittle {
+		c.server.pauses.Pause(now, e.ID, e.StartedMillis, brittlePause)
+	}
 }
 
+// brittlePause is how long a brittle endpoint that has turned a request away gets none
+// from this router. What it tolerates is counted by the second.
+const brittlePause = time.Second
+
 func (c *call) recordAnswer(n proxy.Attempt) {
 	p := &c.placements[n]
 	if !p.hasAnswer && !isRouter(p.endpoint) {
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -65,7 +65,7 @@
 	limit, err := strconv.ParseFloat(h.Get("Limit"), 64)
 	wait, _ := time.ParseDuration(h.Get("Retry-After")) // 0 if not given
 	return proxy.ResponseHead{
-		Limited: err == nil, Limit: limit, Leaving: h.Get("Leaving") != "", RetryAfter: wait,
+		Brittle: h.Get("Brittle") != "", Limited: err == nil, Limit: limit, Leaving: h.Get("Leaving") != "", RetryAfter: wait,
 		Status: status, Signed: h.Get("Proof") != "", NotRun: h.Get("Not-Run") != "", WrongEndpoint: status == 421, Confidence: -1,
 	}
 }
@@ -233,8 +233,13 @@
 
 func (f *routerFixture) RecordPrefixes(time.Time, ident.EndpointID, []uint64, []route.PromptPart) {}
 
-func (f *routerFixture) ObserveLimit(now time.Time, e *world.Endpoint, limited bool, rate float64) {
-	f.limits.Record(now, route.EndpointLimit{Endpoint: e.ID, Limited: limited, Rate: rate})
+func (f *routerFixture) ObserveLimit(now time.Time, e *world.Endpoint, l route.EndpointLimit) {
+	l.Endpoint = e.ID
+	f.limits.Record(now, l)
+}
+
+func (f *routerFixture) Brittle(now time.Time, e *world.Endpoint) bool {
+	return f.limits.Brittle(now, e.ID, 0)
 }
 
 func (f *routerFixture) ObserveLeaving(now time.Time, e *world.Endpoint) {
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -187,6 +187,7 @@
 // only as often as the limit allows.
 func (c *call) candidates(now time.Time, view *world.View, version ident.VersionID) candidateSet {
 	var warm, cold candidateSet
+	var full []*world.Endpoint // brittle ones at which this router has used up its share
 	for _, e := range view.Candidates(now, c.request.Service, version) {
 		if !c.regionAllowed(e.Zone) {
 			continue
@@ -201,6 +202,10 @@
 				continue
 			}
 		}
+		if c.server.control.Brittle(now, e) && !c.hasRoom(now, e) {
+			full = append(full, e)
+			continue
+		}
 		candidate := route.Candidate{
 			Endpoint: e.ID, Zone: e.Zone, Slots: e.Slots, Cold: e.Cold(now), NewVersion: view.IsRolloutTarget(e.Service, e.Version),
 		}
@@ -210,6 +215,9 @@
 		}
 		warm.add(e, candidate)
 	}
+	if len(warm.list)+len(cold.list) == 0 {
+		c.addBrittle(now, view, &warm, full)
+	}
 	if len(warm.list) > 0 || len(cold.list) == 0 {
 		return warm
 	}
@@ -223,6 +231,37 @@
 	return warm
 }
 
+// hasRoom reports whether this router may have one more request in progress at a brittle
+// endpoint.
+func (c *call) hasRoom(now time.Time, e *world.Endpoint) bool {
+	share := route.RoomShare(e.ID, e.Slots, c.server.settings.Router, c.server.control.Routers())
+	return c.server.loads.Load(now, e.ID, time.Time{}).Running < share
+}
+
+// addBrittle adds one of the brittle endpoints at which this router has used up its share,
+// if it has no request in progress at any of them: a router whose share is nothing at all
+// of them still serves its callers. Otherwise it leaves them out.
+func (c *call) addBrittle(now time.Time, view *world.View, s *candidateSet, full []*world.Endpoint) {
+	if len(full) == 0 {
+		return
+	}
+	e := full[c.request.Seed%uint64(len(full))]
+	busy := slices.ContainsFunc(full, func(e *world.Endpoint) bool {
+		return c.server.loads.Load(now, e.ID, time.Time{}).Running > 0
+	})
+	if busy || e.Cold(now) && c.coldRate(view) > 0 {
+		s.leaveOut(brittleRetryAfter)
+		return
+	}
+	s.add(e, route.Candidate{
+		Endpoint: e.ID, Zone: e.Zone, Slots: e.Slots, Cold: e.Cold(now), NewVersion: view.IsRolloutTarget(e.Service, e.Version),
+	})
+}
+
+// brittleRetryAfter is the retry delay while this router's share of all brittle endpoints
+// is in use.
+const brittleRetryAfter = 200 * time.Millisecond
+
 func (c *call) coldRate(view *world.View) float64 {
 	if s := view.Config.Services[c.request.Service]; s != nil {
 		return s.ColdRate
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -70,8 +70,12 @@
 	// RecordPrefixes records that an endpoint was sent a prompt with the given
 	// prefix parts, whose hashes are those of route.HashParts.
 	RecordPrefixes(now time.Time, id ident.EndpointID, hashes []uint64, parts []route.PromptPart)
-	// ObserveLimit records whether an endpoint names a limit in an answer, and which.
-	ObserveLimit(now time.Time, e *world.Endpoint, limited bool, rate float64)
+	// ObserveLimit records what an endpoint says in an answer of the load that it
+	// accepts; l holds no more than that.
+	ObserveLimit(now time.Time, e *world.Endpoint, l route.EndpointLimit)
+	// Brittle reports whether an endpoint says that it falls over if it has to turn
+	// many requests away.
+	Brittle(now time.Time, e *world.Endpoint) bool
 	// ObserveLeaving records that an endpoint said in an answer that it is leaving.
 	ObserveLeaving(now time.Time, e *world.Endpoint)
 	// Limit returns the rate that an endpoint accepts from all routers together, and
--- a/internal/route/limit_table.go
+++ b/internal/route/limit_table.go
@@ -23,13 +23,15 @@
 	maxClockError = 5 * time.Second
 )
 
-// EndpointLimit is the rate that an endpoint accepts from all routers together.
+// EndpointLimit is what an endpoint says of the load that it accepts: the rate from all
+// routers together, and whether it falls over if it has to turn many requests away.
 type EndpointLimit struct {
 	Endpoint      ident.EndpointID `json:"endpoint"`
 	StartedMillis int64            `json:"boot"`    // start of the endpoint's incarnation
 	Limited       bool             `json:"limited"` // false once the endpoint names no limit any more
 	Rate          float64          `json:"rate"`    // requests a second
-	Millis        int64            `json:"at"`      // when a router was told, in Unix milliseconds
+	Brittle       bool             `json:"brittle,omitempty"`
+	Millis        int64            `json:"at"` // when a router was told, in Unix milliseconds
 }
 
 // LimitTable holds the limits that endpoints name in their answers, to this or to
@@ -53,24 +55,24 @@
 }
 
 // Record records what an endpoint said in an answer. It reports whether the endpoint
-// has begun or ceased to name a limit.
+// has begun or ceased to name a limit, or to be brittle.
 func (t *LimitTable) Record(now time.Time, l EndpointLimit) bool {
 	t.lock.Lock()
 	defer t.lock.Unlock()
 	old, known := t.entries[l.Endpoint]
-	if !known && !l.Limited {
+	if !known && !l.Limited && !l.Brittle {
 		return false
 	}
 	l.Millis = max(now.UnixMilli(), old.limit.Millis+1) // an own answer is the latest, whatever the clocks
 	t.set(l)
-	return old.limit.Limited != l.Limited
+	return old.limit.Limited != l.Limited || old.limit.Brittle != l.Brittle
 }
 
 // set replaces an entry, and numbers it for other routers if it tells them more.
 func (t *LimitTable) set(l EndpointLimit) {
 	x := t.entries[l.Endpoint]
 	x.limit = l
-	same := x.sent.StartedMillis == l.StartedMillis && x.sent.Limited == l.Limited && math.Abs(x.sent.Rate-l.Rate) <= limitTolerance*l.Rate
+	same := x.sent.StartedMillis == l.StartedMillis && x.sent.Limited == l.Limited && x.sent.Brittle == l.Brittle && math.Abs(x.sent.Rate-l.Rate) <= limitTolerance*l.Rate
 	if !same || time.Duration(l.Millis-x.sent.Millis)*time.Millisecond >= limitRefresh {
 		t.revision++
 		x.revision, x.sent = t.revision, l
@@ -90,6 +92,14 @@
 	return l.Rate, true
 }
 
+// Brittle reports whether an incarnation of an endpoint says that it is brittle.
+func (t *LimitTable) Brittle(now time.Time, id ident.EndpointID, startedMillis int64) bool {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	l := t.entries[id].limit
+	return l.Brittle && l.StartedMillis == startedMillis && now.Sub(time.UnixMilli(l.Millis)) < limitMemory
+}
+
 // Since returns the limits that changed after a revision, and the current revision.
 func (t *LimitTable) Since(revision uint64) ([]EndpointLimit, uint64) {
 	t.lock.Lock()
--- a/internal/syncer/limits.go
+++ b/internal/syncer/limits.go
@@ -10,16 +10,23 @@
 	"github.com/marigoldscale/marigoldscale/pkg/ident"
 )
 
-// ObserveLimit records whether an endpoint names a limit in an answer, and which.
-func (c *Controller) ObserveLimit(now time.Time, e *world.Endpoint, limited bool, rate float64) {
-	changed := c.limits.Record(now, route.EndpointLimit{Endpoint: e.ID, StartedMillis: e.StartedMillis, Limited: limited, Rate: rate})
-	switch {
-	case !changed:
-	case limited:
-		c.log.Info("endpoint limited", zap.String("endpoint", string(e.ID)), zap.Float64("rate", rate))
-	default:
-		c.log.Info("endpoint not limited", zap.String("endpoint", string(e.ID)))
+// ObserveLimit records what an endpoint says in an answer of the load that it accepts.
+func (c *Controller) ObserveLimit(now time.Time, e *world.Endpoint, l route.EndpointLimit) {
+	l.Endpoint, l.StartedMillis = e.ID, e.StartedMillis
+	if !c.limits.Record(now, l) {
+		return
 	}
+	if l.Limited {
+		c.log.Info("endpoint limited", zap.String("endpoint", string(e.ID)), zap.Float64("rate", l.Rate), zap.Bool("brittle", l.Brittle))
+		return
+	}
+	c.log.Info("endpoint not limited", zap.String("endpoint", string(e.ID)), zap.Bool("brittle", l.Brittle))
+}
+
+// Brittle reports whether an endpoint says that it falls over if it has to turn many
+// requests away.
+func (c *Controller) Brittle(now time.Time, e *world.Endpoint) bool {
+	return c.limits.Brittle(now, e.ID, e.StartedMillis)
 }
 
 // Limit returns the rate that an endpoint accepts from all routers together, and
