Bound what an endpoint may send up to the end of a frame or a head

The same cause as on pass-through routes, on the project's own interface: a stream whose frame has no end was collected until the deadline. The specs write without end; before, the stream ended only with the request.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -24,8 +24,29 @@
 	maxAnswerBytes = 8 << 20
 	// maxErrorBodyBytes limits how much is read of an endpoint's error response.
 	maxErrorBodyBytes = 16 << 10
+	// maxFrameBytes limits what is read of a stream up to the end of a frame.
+	maxFrameBytes = 4 << 20
 )
 
+// errFrameTooLong is returned by a stream that goes on without the end of a frame.
+var errFrameTooLong = errors.New("frame is too long")
+
+// boundedBody is a body of which left more bytes may be read.
+type boundedBody struct {
+	io.ReadCloser
+	left int
+}
+
+// Read implements io.Reader.
+func (b *boundedBody) Read(p []byte) (int, error) {
+	if b.left <= 0 {
+		return 0, errFrameTooLong
+	}
+	n, err := b.ReadCloser.Read(p[:min(len(p), b.left)])
+	b.left -= n
+	return n, err
+}
+
 // Client is an Engine that uses the HTTP protocol of the endpoints.
 type Client struct {
 	client *http.Client
@@ -48,8 +69,11 @@
 		body, _ := io.ReadAll(io.LimitReader(res.Body, maxErrorBodyBytes))
 		return fmt.Errorf("starting attempt %s: %w", attempt.ID, streamError(res.StatusCode, body))
 	}
+	body := &boundedBody{ReadCloser: res.Body, left: maxFrameBytes}
+	res.Body = body
 	decoder := ssestream.NewDecoder(res)
 	for decoder.Next() {
+		body.left = maxFrameBytes
 		done, err := emitFrame(decoder.Event().Data, emit)
 		if err != nil || done {
 			return err
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -88,6 +88,30 @@
 		}
 	})
 
+	// Guards against a client that reads until its memory is used up.
+	DescribeTable("gives up a stream whose frame has no end", func(piece string) {
+		var written atomic.Int64
+		address := serve(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			for text := strings.Repeat(piece, 1<<14/len(piece)); r.Context().Err() == nil; {
+				n, err := io.WriteString(w, text)
+				written.Add(int64(n))
+				if err != nil {
+					return
+				}
+			}
+		})
+		ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
+		defer cancel()
+		Expect(client.Stream(ctx, newAttempt(address), discardFrame)).To(MatchError(engine.ErrConnectionBroken))
+		Expect(ctx.Err()).NotTo(HaveOccurred())
+		Expect(written.Load()).To(BeNumerically("<", 32<<20))
+	},
+		Entry("a line without end", "x"),
+		Entry("lines without end", "data: x\n"),
+		Entry("comments without end", ": x\n"),
+	)
+
 	DescribeTable("returns ErrNotSent only if nothing was sent", func(send func(a engine.Attempt) error) {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -272,11 +272,16 @@
 			MaxIdleConnsPerHost: maxIdlePerEndpoint,
 			IdleConnTimeout:     time.Minute,
 			DisableCompression:  true,
+
+			MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
 
+// maxResponseHeaderBytes bounds the head of a response.
+const maxResponseHeaderBytes = 256 << 10
+
 // keepAliveInterval is the interval of TCP keep-alive probes.
 const keepAliveInterval = 5 * time.Second
 
