Bound the memory that responses of endpoints use

A head was read until the deadline and kept in memory, and so were bodies up to 32 MB each: a few of them ended a router of 134 MB.

Up to the end of a head an endpoint may send 1.25 MB, interim responses and late responses to other requests included. Responses share a quarter of the router's memory beyond their first 64 KB, and none gets more than half of that, so that long ones never make short ones fail. Beyond it the attempt has failed as if the connection had broken.

Evidence: the specs on responses without end; on a scratch copy without the bound on heads three of them fail, without that on memory the one on many at once.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -38,6 +38,9 @@
 	// shutdownMargin is the part of the grace period reserved for work after the
 	// callers' connections are closed.
 	shutdownMargin = 700 * time.Millisecond
+	// responseMemoryDivisor is the part of the router's memory that responses may use
+	// together: one in so many.
+	responseMemoryDivisor = 4
 	// logFlushTimeout bounds the writing of the last log lines.
 	logFlushTimeout = 200 * time.Millisecond
 )
@@ -93,7 +96,7 @@
 		regions[z.Zone] = z.Region
 	}
 	return relay.Settings{
-		Router: s.Router, Zone: s.Zone, Regions: regions,
+		Router: s.Router, Zone: s.Zone, Regions: regions, Buffer: int64(s.Limits.Memory) << 20 / responseMemoryDivisor,
 		Retries: relay.RetryLimits{Share: s.Retries.Share, Extra: s.Retries.Extra, Window: s.Retries.Window},
 	}
 }
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -92,7 +92,7 @@
 		Service:     q.Service, Parts: sharedParts(q.Parts),
 	}
 	c.events, c.done = make(chan proxy.Event, 4), make(chan struct{})
-	defer close(c.done)
+	defer c.end()
 	budget := s.retryBudget(q.Service)
 	if !c.handedOver {
 		budget.RecordFirst(c.arrived)
@@ -126,6 +126,14 @@
 	}
 }
 
+// end ends the request and gives the memory of its responses back.
+func (c *call) end() {
+	close(c.done)
+	for _, x := range c.exchanges {
+		x.memory.release()
+	}
+}
+
 func (c *call) step(e proxy.Event) { c.apply(c.state.Step(c.server.clock(), e)) }
 
 func (c *call) apply(actions []proxy.Action) {
@@ -181,12 +189,17 @@
 	x := &exchange{
 		attempt: d.Attempt, requestID: c.request.ID, endpoint: d.Endpoint, method: c.r.Method,
 		head: encodeRequestHead(c.r, h, len(c.body)), body: c.body, mustNotRepeat: !c.route.Repeatable(),
-		cancel: cancel, started: now,
+		cancel: cancel, started: now, memory: holding{budget: &c.server.buffer},
 	}
 	c.exchanges = append(c.exchanges, x)
 	go func() {
 		defer cancel()
 		x.run(ctx, c.server.pool, c.server.codec, c.sendEvent)
+		select {
+		case <-c.done: // nobody takes the response
+			x.memory.release()
+		default:
+		}
 	}()
 }
 
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -16,10 +16,10 @@
 )
 
 const (
-	// maxResponseBytes is the largest body of a response that is not a stream.
-	maxResponseBytes = 32 << 20
 	// maxEventBytes is the largest event of a stream.
 	maxEventBytes = 4 << 20
+	// maxSkippedBytes is the largest body of a late response to another request.
+	maxSkippedBytes = 1 << 20
 	// maxInlineBodyBytes is the largest request body that is written before the
 	// response is read. A longer one is written concurrently, since an endpoint
 	// may respond before it has read all of it.
@@ -39,6 +39,7 @@
 	head          []byte // encoded request head
 	body          []byte
 	mustNotRepeat bool // the request must not run twice
+	memory        holding
 	cancel        context.CancelFunc
 	response      *http.Response // set before HeadReceived or ResponseReceived is sent
 	began         time.Time      // when the head of the response came, set before the event that follows
@@ -140,6 +141,8 @@
 	if err := <-pc.firstByte; err != nil {
 		return nil, fmt.Errorf("waiting for the response: %w", err)
 	}
+	pc.bounded.allow(maxHeadBytes+maxSkippedBytes, errHeadTooLong)
+	defer pc.bounded.allow(-1, nil)
 	for {
 		r, err := pc.readHead(x.method)
 		if err != nil {
@@ -148,7 +151,7 @@
 		if codec.MatchesRequest(r.Header, x.requestID) {
 			return r, nil
 		}
-		if err := pc.skipResponse(r, maxResponseBytes); err != nil {
+		if err := pc.skipResponse(r, maxSkippedBytes); err != nil {
 			return nil, err
 		}
 	}
@@ -161,10 +164,7 @@
 
 // readResponseBody reads the body of a response that is not a stream.
 func (x *exchange) readResponseBody(r *http.Response, codec HeaderCodec) proxy.Event {
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = fmt.Errorf("response body exceeds %d bytes", maxResponseBytes)
-	}
+	body, err := x.memory.readAll(r.Body, maxResponseBytes)
 	if err != nil {
 		x.cause = fmt.Errorf("reading the response body: %w", err)
 		return proxy.AttemptFailed{Attempt: x.attempt, Sent: true}
@@ -190,6 +190,10 @@
 			pending = pending[end:]
 			emit(proxy.EventReceived{Attempt: x.attempt, ID: eventID(event), Data: event})
 		}
+		if full := x.memory.resize(int64(len(pending))); full != nil {
+			x.cause = fmt.Errorf("reading events: %w", full)
+			return proxy.AttemptFailed{Attempt: x.attempt, Sent: true}
+		}
 		switch {
 		case err == io.EOF && len(pending) == 0:
 			return proxy.StreamEnded{Attempt: x.attempt}
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -258,6 +258,9 @@
 
 func (f *routerFixture) Peers() []route.Peer { return f.peers }
 
+// testBufferBytes is the memory for responses of a router.
+const testBufferBytes = 16 << 20
+
 func newFixture(r paths.Route, endpoints ...*scriptedEndpoint) *routerFixture {
 	r.ID, r.Host, r.Prefix = "r", "127.0.0.1", "/x/"
 	r.Split = []paths.WeightedService{{Service: "s", Weight: 1}}
@@ -276,7 +279,7 @@
 	w.Step(now, list)
 	f := &routerFixture{world: w, runs: poison.NewRunTable(time.Minute), crashesChanged: make(chan struct{}), limits: route.NewLimitTable()}
 	var err error
-	f.relay, err = relay.New(relay.Settings{Router: "r1", Zone: "z", Retries: relay.RetryLimits{Share: 1, Extra: 100}}, testCodec{}, f, zap.NewNop(), metric.New(), time.Now)
+	f.relay, err = relay.New(relay.Settings{Router: "r1", Zone: "z", Retries: relay.RetryLimits{Share: 1, Extra: 100}, Buffer: testBufferBytes}, testCodec{}, f, zap.NewNop(), metric.New(), time.Now)
 	Expect(err).NotTo(HaveOccurred())
 	f.server = httptest.NewServer(f.relay)
 	DeferCleanup(f.server.Close)
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -83,6 +83,7 @@
 type poolConn struct {
 	key           poolKey
 	conn          net.Conn
+	bounded       *boundedConn // conn, as reader reads it
 	reader        *bufio.Reader
 	firstByte     chan error // result of waiting for a first byte
 	inUse         bool       // guarded by ConnPool.lock
@@ -141,7 +142,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("connecting to endpoint %q at %s: %w", e.ID, e.Address, err)
 	}
-	pc := &poolConn{key: poolKeyOf(e), conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), firstByte: make(chan error, 1), inUse: true}
+	bounded := &boundedConn{Conn: conn, left: -1}
+	pc := &poolConn{key: poolKeyOf(e), conn: conn, bounded: bounded, reader: bufio.NewReaderSize(bounded, readBufferBytes), firstByte: make(chan error, 1), inUse: true}
 	go p.awaitFirstByte(pc)
 	return pc, nil
 }
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -36,6 +36,8 @@
 	Regions map[ident.ZoneID]ident.RegionID
 	// Retries limits the attempts of a request beyond the first, over all routers.
 	Retries RetryLimits
+	// Buffer is the memory in bytes that responses may use together, 0 for a default.
+	Buffer int64
 }
 
 // RetryLimits bound the retries of requests in any window, summed over all
@@ -104,6 +106,7 @@
 	pauses      *route.Pauses
 	reach       *route.Reach
 	handoffs    *route.Handoffs
+	buffer      byteBudget
 	log         *zap.Logger
 	metrics     *metric.Set
 	clock       func() time.Time
@@ -120,7 +123,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if s.Buffer <= 0 {
+		s.Buffer = defaultBufferBytes
+	}
 	return &Server{
+		buffer:   byteBudget{limit: s.Buffer},
 		settings: s, codec: codec, control: control,
 		pool: NewConnPool(set.Registry(), clock), loads: route.NewLoadTracker(), estimator: route.NewEstimator(),
 		prefixes: prefixes, coldLimiter: route.NewColdLimiter(string(s.Router)), limiter: route.NewSharedLimiter(s.Router), pauses: route.NewPauses(), reach: route.NewReach(), handoffs: route.NewHandoffs(), log: log, metrics: set, clock: clock,
@@ -142,6 +149,9 @@
 	s.prefixes.RecordSent(id, hashes)
 }
 
+// BufferedBytes returns the memory that responses use together.
+func (s *Server) BufferedBytes() int64 { return s.buffer.used.Load() }
+
 // ActiveRequests returns the number of requests in progress.
 func (s *Server) ActiveRequests() int64 { return s.activeRequests.Load() }
 
