Ask the next router if one has no endpoint to try for a request handed over

Callers got 503 although another router could have served them. A router whose endpoints all are in backoff, since it has just failed to reach them, refused a request handed over as if they were busy. The new spec fails without the change.

--- a/internal/relay/handoff_test.go
+++ b/internal/relay/handoff_test.go
@@ -122,6 +122,19 @@
 		Expect(p.requestCount()).To(Equal(6))
 	})
 
+	// Guards against a router that takes another's endpoints for busy, since that has
+	// just failed to reach them for an earlier request.
+	It("asks the next router if one has just failed to reach its endpoints", func() {
+		p := answering()
+		unable := newFixture(onceRoute, unreachable(4, closedAddress)...)
+		Expect(unable.call("POST", "x", "body").status).To(Equal(503))
+		for i := range 8 {
+			cut := newFixture(onceRoute, unreachable(4, closedAddress)...)
+			cut.handOverTo(unable, newFixture(onceRoute, p))
+			Expect(cut.call("POST", fmt.Sprint("a", i), "body").status).To(Equal(200))
+		}
+	})
+
 	It("does not send a request again that may have run behind the other router", func() {
 		p := newScriptedEndpoint(func(conn net.Conn, _ *http.Request, _ int) { _ = conn.Close() })
 		cut := newFixture(onceRoute, unreachable(4, closedAddress)...)
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -37,6 +37,9 @@
 		if c.unreached > 0 && c.handOver(now, s.Attempt) {
 			return
 		}
+		if !decision.TooLate && candidates.limited == 0 {
+			c.markUnreached()
+		}
 		c.step(proxy.NoEndpoint{
 			Attempt: s.Attempt, RetryAfter: candidates.retryAfter(decision), TooLate: decision.TooLate, Limited: candidates.limited > 0,
 		})
