--- a/internal/proxy/machine.go
+++ b/internal/proxy/machine.go
@@ -47,6 +47,7 @@
 	handoff        bool // endpoint stands for another router
 	running        bool
 	succeeded      bool      // its endpoint may be used again
+	hung           bool      // replaced as soon as there is an endpoint for another attempt
 	hangDeadline   time.Time // when to try another endpoint if no response has arrived, zero for never
 }
 
@@ -135,7 +136,7 @@
 		endpoint: e.Endpoint, model: m.currentModel(), started: now,
 		expected: e.Expected, baseEstimate: e.BaseEstimate, serviceTime: e.ServiceTime, uncachedTokens: e.UncachedTokens, running: true, handoff: e.Handoff,
 	}
-	actions := []Action{Dispatch{Attempt: e.Attempt, Endpoint: e.Endpoint, Model: a.model, LastEventID: m.lastEventID}}
+	actions := append(m.abandonHung(now), Dispatch{Attempt: e.Attempt, Endpoint: e.Endpoint, Model: a.model, LastEventID: m.lastEventID})
 	if a.handoff {
 		m.attempts = append(m.attempts, a)
 		return actions
@@ -217,12 +218,25 @@
 		if !m.mayRetry(now) || !m.budget.Allow(now, 0) {
 			continue
 		}
-		m.mayHaveRun = true
-		return append(m.abandonAttempt(now, Attempt(i)), m.selectEndpoint()...)
+		a.hung = true
+		return m.selectEndpoint()
 	}
 	return nil
 }
 
+// abandonHung cancels the attempts that another one replaces. Until then they go on: an
+// endpoint that was silent for a while may still answer.
+func (m *Machine) abandonHung(now time.Time) []Action {
+	var actions []Action
+	for i := range m.attempts {
+		if a := &m.attempts[i]; a.running && a.hung {
+			m.mayHaveRun = true
+			actions = append(actions, m.abandonAttempt(now, Attempt(i))...)
+		}
+	}
+	return actions
+}
+
 // hasRunningAttempt reports whether an attempt is in flight.
 func (m *Machine) hasRunningAttempt() bool {
 	for i := range m.attempts {
