--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -195,7 +195,10 @@
 			return proxy.AttemptFailed{Attempt: x.attempt, Sent: true}
 		}
 		switch {
-		case err == io.EOF && len(pending) == 0:
+		case err == io.EOF && len(bytes.Trim(pending, "\r\n")) == 0:
+			if len(pending) > 0 { // blank lines after the last event
+				emit(proxy.EventReceived{Attempt: x.attempt, ID: proxy.NoEvent, Data: pending})
+			}
 			return proxy.StreamEnded{Attempt: x.attempt}
 		case err != nil:
 			x.cause = fmt.Errorf("reading events, after %d bytes of an incomplete event: %w", len(pending), err)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -276,6 +276,30 @@
 		Expect(f.call("POST", "b", "").status).To(Equal(502))
 	})
 
+	// Guards against a stream that looks complete since it ended with its connection.
+	It("treats a stream without length as complete only if it did not end inside an event", func() {
+		for text, whole := range map[string]bool{
+			"id: 0\ndata: a\n\n":                     true,
+			"id: 0\r\ndata: a\r\n\r\n":               true,
+			"id: 0\ndata: a\n\nid: 1\ndata: b\n\n\n": true,
+			"id: 0\ndata: a\n\nid: 1\n":              false,
+			"id: 0\ndata: a\n\nid: 1\ndata: b\n":     false,
+			"id: 0\ndata: a\n\nid":                   false,
+		} {
+			p := newScriptedEndpoint(func(conn net.Conn, _ *http.Request, _ int) {
+				writeString(conn, "HTTP/1.1 200 OK\r\nProof: p\r\nContent-Type: text/event-stream\r\n\r\n"+text)
+				_ = conn.Close()
+			})
+			got := newFixture(paths.Route{Kind: paths.KindStream, MaxAttempts: 1}, p).call("POST", "a", "")
+			if whole {
+				Expect(got.err).NotTo(HaveOccurred(), "%q", text)
+				Expect(got.body).To(Equal(text))
+			} else {
+				Expect(got.err).To(HaveOccurred(), "%q", text)
+			}
+		}
+	})
+
 	It("sends a long body completely although the response came early", func() {
 		body := strings.Repeat("#", 300<<10)
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
