Hand over what needs a new connection while a cut leaves open ones alive

Callers of routers that were cut got 503 with `no endpoint`: answers over connections that were still open told that the service is reached, while each endpoint was in backoff since a new connection to it had been refused.

route.Reach also keeps to which endpoints the latest new connection failed; if that is so at three, a request without a candidate is handed over. And a cut from all endpoints is found over all services: three endpoints of any without contact since the last with any, so that services with little traffic need not find out for themselves.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -235,6 +235,9 @@
 		if c.exchanges[x.Attempt].began.IsZero() {
 			c.recordContact(x.Attempt, false)
 		}
+		if e := c.exchanges[x.Attempt].endpoint; x.Refused && !isRouter(e.ID) {
+			c.server.reach.Unconnected(c.server.clock(), e.Service, e.ID)
+		}
 		c.warn("attempt broke", zap.Int("attempt", int(x.Attempt)), zap.Bool("sent", x.Sent),
 			zap.String("endpoint", string(c.placements[x.Attempt].endpoint)), zap.Error(c.exchanges[x.Attempt].cause))
 	}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -40,6 +40,7 @@
 	body          []byte
 	mustNotRepeat bool // the request must not run twice
 	memory        holding
+	fresh         bool // on a new connection, set before the first event
 	cancel        context.CancelFunc
 	response      *http.Response // set before HeadReceived or ResponseReceived is sent
 	began         time.Time      // when the head of the response came, set before the event that follows
@@ -58,6 +59,7 @@
 		emit(proxy.AttemptFailed{Attempt: x.attempt, Refused: ctx.Err() == nil})
 		return
 	}
+	x.fresh, pc.fresh = pc.fresh, false
 	stop := context.AfterFunc(ctx, func() { _ = pc.conn.Close() }) // unblocks reads and writes
 	sent := x.send(pc)
 	r, err := x.readResponseHead(pc, codec)
--- a/internal/relay/handoff.go
+++ b/internal/relay/handoff.go
@@ -170,14 +170,17 @@
 		}
 		return
 	}
+	now := s.clock()
 	if reached {
+		if c.exchanges[n].fresh {
+			s.reach.Connected(e.Service, e.ID)
+		}
 		if s.reach.Contact(e.Service) {
 			s.log.Info("endpoints reached again", zap.String("service", string(e.Service)))
 		}
 		return
 	}
 	c.unreached++
-	now := s.clock()
 	if s.reach.Fail(now, e.Service, e.ID, len(s.control.View().Candidates(now, e.Service, ""))) {
 		s.log.Warn("endpoints not reached", zap.String("service", string(e.Service)))
 	}
--- a/internal/relay/handoff_test.go
+++ b/internal/relay/handoff_test.go
@@ -94,6 +94,41 @@
 		Entry("connections hang", hangingAddress, func() paths.Route { return idempotentRoute }, 1900*time.Millisecond),
 	)
 
+	// Guards against refusals with "no endpoint" while a cut has left some connections open.
+	It("serves what needs a new connection through another while open connections go on", func() {
+		var kept []*scriptedEndpoint
+		for range 3 {
+			x := newScriptedEndpoint(func(conn net.Conn, r *http.Request, _ int) {
+				time.Sleep(60 * time.Millisecond)
+				writeString(conn, httpResponse(r.Header.Get("Id"), "yes"))
+			})
+			kept = append(kept, x)
+		}
+		cut := newFixture(idempotentRoute, kept...)
+		cut.handOverTo(newFixture(idempotentRoute, answering()))
+		for i := 0; kept[0].requestCount()*kept[1].requestCount()*kept[2].requestCount() == 0; i++ {
+			Expect(cut.call("POST", fmt.Sprint("w", i), "body").status).To(Equal(200))
+		}
+		for _, x := range kept {
+			_ = x.listener.Close() // new connections are refused
+		}
+		statuses := make(chan int, 200)
+		for i := range 100 {
+			for k := range 2 {
+				go func() {
+					defer GinkgoRecover()
+					statuses <- cut.call("POST", fmt.Sprint("a", i, "-", k), "body").status
+				}()
+			}
+			time.Sleep(15 * time.Millisecond)
+		}
+		counts := map[int]int{}
+		for range 200 {
+			counts[<-statuses]++
+		}
+		Expect(counts).To(Equal(map[int]int{200: 200}))
+	})
+
 	It("refuses at once, as not run, if no other reaches one either", func() {
 		a, b := newFixture(onceRoute, unreachable(4, closedAddress)...), newFixture(onceRoute, unreachable(4, closedAddress)...)
 		a.handOverTo(b)
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -34,7 +34,8 @@
 		decision = c.choose(now, &candidates, request)
 	}
 	if decision.Index < 0 {
-		if c.unreached > 0 && c.handOver(now, s.Attempt) {
+		refused := c.server.reach.Refused(now, c.request.Service, len(view.Candidates(now, c.request.Service, "")))
+		if (c.unreached > 0 || refused) && c.handOver(now, s.Attempt) {
 			return
 		}
 		if !decision.TooLate && candidates.limited == 0 {
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -86,6 +86,7 @@
 	bounded       *boundedConn // conn, as reader reads it
 	reader        *bufio.Reader
 	firstByte     chan error // result of waiting for a first byte
+	fresh         bool       // has carried no request yet
 	inUse         bool       // guarded by ConnPool.lock
 	idleSince     time.Time
 	reusableUntil time.Time
@@ -143,7 +144,7 @@
 		return nil, fmt.Errorf("connecting to endpoint %q at %s: %w", e.ID, e.Address, err)
 	}
 	bounded := &boundedConn{Conn: conn, left: -1}
-	pc := &poolConn{key: poolKeyOf(e), conn: conn, bounded: bounded, reader: bufio.NewReaderSize(bounded, readBufferBytes), firstByte: make(chan error, 1), inUse: true}
+	pc := &poolConn{key: poolKeyOf(e), conn: conn, fresh: true, bounded: bounded, reader: bufio.NewReaderSize(bounded, readBufferBytes), firstByte: make(chan error, 1), inUse: true}
 	go p.awaitFirstByte(pc)
 	return pc, nil
 }
--- a/internal/route/reach.go
+++ b/internal/route/reach.go
@@ -21,29 +21,36 @@
 )
 
 // Reach decides whether this router has lost its links to a service: attempts at several
-// of its endpoints have ended without contact since the last contact with any. It answers
+// of its endpoints, or of any services', have ended without contact since the last contact
+// with any. It answers
 // partitions in which a router reaches callers, the store and other routers, but no
 // endpoint. It is safe for concurrent use.
 type Reach struct {
 	lock     sync.Mutex
 	services map[ident.ServiceID]*serviceReach
+	failed   map[ident.EndpointID]time.Time // of all services, since the last contact with any
 }
 
 type serviceReach struct {
 	failed map[ident.EndpointID]time.Time // since the last contact with any
-	lost   bool
-	since  time.Time // if lost
-	probed time.Time
-	probes int // connections that came about since it was lost, or since the last trial
+	// unconnected holds the endpoints to which the latest new connection failed. Others
+	// may be open.
+	unconnected map[ident.EndpointID]time.Time
+	lost        bool
+	since       time.Time // if lost
+	probed      time.Time
+	probes      int // connections that came about since it was lost, or since the last trial
 }
 
 // NewReach returns a Reach by which all services are reached.
-func NewReach() *Reach { return &Reach{services: map[ident.ServiceID]*serviceReach{}} }
+func NewReach() *Reach {
+	return &Reach{services: map[ident.ServiceID]*serviceReach{}, failed: map[ident.EndpointID]time.Time{}}
+}
 
 func (r *Reach) service(id ident.ServiceID) *serviceReach {
 	s := r.services[id]
 	if s == nil {
-		s = &serviceReach{failed: map[ident.EndpointID]time.Time{}}
+		s = &serviceReach{failed: map[ident.EndpointID]time.Time{}, unconnected: map[ident.EndpointID]time.Time{}}
 		r.services[id] = s
 	}
 	return s
@@ -58,26 +65,69 @@
 	lost := s.lost
 	s.lost = false
 	clear(s.failed)
+	clear(r.failed)
 	return lost
 }
 
+// Connected records that a new connection to an endpoint of a service has come about.
+func (r *Reach) Connected(id ident.ServiceID, endpoint ident.EndpointID) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	delete(r.service(id).unconnected, endpoint)
+}
+
+// Unconnected records that a new connection to an endpoint of a service has failed.
+func (r *Reach) Unconnected(now time.Time, id ident.ServiceID, endpoint ident.EndpointID) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.service(id).unconnected[endpoint] = now
+}
+
+// Refused reports whether new connections to a service, of which there are count
+// endpoints, are likely to fail although answers may come over those that are open.
+func (r *Reach) Refused(now time.Time, id ident.ServiceID, count int) bool {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	s := r.service(id)
+	forget(now, s.unconnected)
+	return len(s.unconnected) >= min(reachEndpoints, max(1, count))
+}
+
+// forget drops what is older than reachMemory.
+func forget(now time.Time, times map[ident.EndpointID]time.Time) {
+	for e, at := range times {
+		if now.Sub(at) >= reachMemory {
+			delete(times, e)
+		}
+	}
+}
+
 // Fail records an attempt without contact at one of the endpoints of a service, of which
 // there are count. It reports whether the links to the service count as lost from now on.
 func (r *Reach) Fail(now time.Time, id ident.ServiceID, endpoint ident.EndpointID, count int) bool {
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	s := r.service(id)
-	s.failed[endpoint] = now
-	for e, at := range s.failed {
-		if now.Sub(at) >= reachMemory {
-			delete(s.failed, e)
+	before := s.lost
+	s.failed[endpoint], r.failed[endpoint] = now, now
+	forget(now, s.failed)
+	forget(now, r.failed)
+	if len(r.failed) >= reachEndpoints {
+		for _, other := range r.services {
+			other.lose(now)
 		}
 	}
-	if s.lost || len(s.failed) < min(reachEndpoints, max(1, count)) {
-		return false
+	if len(s.failed) >= min(reachEndpoints, max(1, count)) {
+		s.lose(now)
+	}
+	return s.lost && !before
+}
+
+// lose records that the links are lost, if they were not before.
+func (s *serviceReach) lose(now time.Time) {
+	if !s.lost {
+		s.lost, s.since, s.probed, s.probes = true, now, now, 0
 	}
-	s.lost, s.since, s.probed, s.probes = true, now, now, 0
-	return true
 }
 
 // Lost reports whether the links to a service are lost, and for how long they have been.
--- a/internal/route/reach_test.go
+++ b/internal/route/reach_test.go
@@ -52,6 +52,36 @@
 		Expect(r.Fail(at(3100), "s", "e", 9)).To(BeFalse())
 	})
 
+	It("counts all services as lost after attempts at three endpoints of any", func() {
+		r := route.NewReach()
+		Expect(r.Fail(at(0), "s", "a", 9)).To(BeFalse())
+		Expect(r.Fail(at(1), "other", "x", 9)).To(BeFalse())
+		Expect(r.Fail(at(2), "other", "y", 9)).To(BeTrue())
+		Expect(lost(r, 2)).To(BeTrue())
+		r.Contact("s")
+		Expect(lost(r, 3)).To(BeFalse())
+		_, other := r.Lost(at(3), "other")
+		Expect(other).To(BeTrue(), "until it is reached itself")
+		Expect(r.Fail(at(4), "s", "a", 9)).To(BeFalse(), "a contact with any counts for all")
+	})
+
+	// Guards against refusing what needs a new connection while answers come over the
+	// connections that a cut has left open.
+	It("tells that new connections fail although answers come", func() {
+		r := route.NewReach()
+		for _, e := range []ident.EndpointID{"a", "b", "c"} {
+			Expect(r.Refused(at(0), "s", 9)).To(BeFalse())
+			r.Unconnected(at(0), "s", e)
+			r.Contact("s")
+		}
+		Expect(r.Refused(at(1), "s", 9)).To(BeTrue())
+		Expect(r.Refused(at(3000), "s", 9)).To(BeFalse())
+		r.Unconnected(at(4000), "s", "a")
+		Expect(r.Refused(at(4000), "s", 1)).To(BeTrue())
+		r.Connected("s", "a")
+		Expect(r.Refused(at(4000), "s", 1)).To(BeFalse())
+	})
+
 	It("asks for a probe now and then while a service is lost", func() {
 		r := route.NewReach()
 		Expect(r.ProbeDue(at(0), "s")).To(BeFalse())
