Refuse requests handed over by a router with a newer configuration

The request names the generation; a router that is behind says that it cannot take it, and the next is asked. The spec fails without the check.

--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -220,6 +220,15 @@
 	return f.crashesChanged
 }
 
+// advanceConfig puts the next generation of the same configuration in force.
+func (f *routerFixture) advanceConfig() {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	next := *f.world.View().Config
+	next.Generation++
+	f.world.Step(time.Now(), world.ConfigChanged{Config: &next})
+}
+
 // setFatalPart refuses requests with a part in their prompts from now on.
 func (f *routerFixture) setFatalPart(part string) {
 	f.lock.Lock()
--- a/internal/relay/handoff.go
+++ b/internal/relay/handoff.go
@@ -19,6 +19,9 @@
 	// headerAttempts tells the router to which a request is handed over how many
 	// endpoints may still get it.
 	headerAttempts = "Router-Attempts"
+	// headerGeneration tells it the configuration that the request is to be decided by at
+	// least.
+	headerGeneration = "Router-Generation"
 	// headerUnreached marks the refusal of a request that was handed over to a router
 	// which reaches no endpoint either.
 	headerUnreached = "Router-Unreached"
@@ -103,6 +106,16 @@
 func (c *call) setHandoffHeaders(h http.Header, d proxy.Dispatch, remaining time.Duration) {
 	c.server.codec.SetHandoffHeaders(h, HandoffHead{Remaining: remaining, LastEventID: d.LastEventID})
 	h.Set(headerAttempts, strconv.Itoa(c.state.AttemptsLeft()))
+	h.Set(headerGeneration, strconv.FormatUint(uint64(c.server.control.View().Config.Generation), 10))
+}
+
+// isBehind reports whether the router that handed the request over has a newer
+// configuration than this one, and removes its header. Callers of that router must not see
+// an older one.
+func (c *call) isBehind(g ident.Generation) bool {
+	n, err := strconv.ParseUint(c.r.Header.Get(headerGeneration), 10, 64)
+	c.r.Header.Del(headerGeneration)
+	return err == nil && ident.Generation(n) > g
 }
 
 // markUnreached marks the refusal that follows, if the request was handed over, as one
--- a/internal/relay/handoff_test.go
+++ b/internal/relay/handoff_test.go
@@ -170,6 +170,22 @@
 		}
 	})
 
+	// Guards against callers who see an older configuration than their router has shown
+	// them, since another one decides.
+	It("asks the next router if one has an older configuration", func() {
+		p, q := answering(), answering()
+		cut, behind, current := newFixture(onceRoute, unreachable(4, closedAddress)...), newFixture(onceRoute, p), newFixture(onceRoute, q)
+		cut.handOverTo(behind, current)
+		for _, f := range []*routerFixture{cut, current} {
+			f.advanceConfig()
+		}
+		for i := range 8 {
+			Expect(cut.call("POST", fmt.Sprint("a", i), "body").status).To(Equal(200))
+		}
+		Expect(p.requestCount()).To(BeZero())
+		Expect(q.requests[0].Header.Get("Router-Generation")).To(BeEmpty())
+	})
+
 	It("does not send a request again that may have run behind the other router", func() {
 		p := newScriptedEndpoint(func(conn net.Conn, _ *http.Request, _ int) { _ = conn.Close() })
 		cut := newFixture(onceRoute, unreachable(4, closedAddress)...)
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -211,6 +211,11 @@
 		c.refuse(http.StatusServiceUnavailable, notReadyRetryAfter, "not ready")
 		return
 	}
+	if handedOver && c.isBehind(view.Config.Generation) {
+		c.markUnreached()
+		c.refuse(http.StatusServiceUnavailable, notReadyRetryAfter, "configuration is behind")
+		return
+	}
 	if err != nil {
 		c.refuse(http.StatusBadRequest, 0, err.Error())
 		return
