Bound the work of the table of prompt parts

With as many crashes as it kept (1,024, 20 requests each) a whole answer took 2.0 ms to record and the verdict after a crash 15.9 ms, under the lock that every request takes.

--- a/internal/poison/part_table.go
+++ b/internal/poison/part_table.go
@@ -12,6 +12,7 @@
 
 const (
 	maxAnsweredParts = 8192 // parts whose latest answer is kept
+	maxPartCrashes   = 256  // crashes kept
 	maxPartSuspects  = 256  // suspects kept per crash
 	// maxWaitingSuspects is the number of suspects that one router adds to a crash
 	// while no answer is known that had begun.
@@ -60,7 +61,9 @@
 	lifetime time.Duration
 	revision Revision
 	crashes  map[Incarnation]*partCrash
-	answered *lru.Cache[ident.Fingerprint, time.Time] // latest whole answer at this router
+	byPart   map[ident.Fingerprint]map[Incarnation]struct{} // crashes of which a part may not be cleared
+	expired  time.Time                                      // when crashes were last looked through for old ones
+	answered *lru.Cache[ident.Fingerprint, time.Time]       // latest whole answer at this router
 	verdict  partVerdict
 	decided  Revision // as of which verdict was made
 }
@@ -87,7 +90,9 @@
 	if err != nil {
 		panic(err) // the size is a positive constant
 	}
-	return &PartTable{lifetime: lifetime, crashes: map[Incarnation]*partCrash{}, answered: answered}
+	return &PartTable{
+		lifetime: lifetime, crashes: map[Incarnation]*partCrash{}, byPart: map[ident.Fingerprint]map[Incarnation]struct{}{}, answered: answered,
+	}
 }
 
 // Observe records the end of a run.
@@ -104,9 +109,10 @@
 	}
 	for _, part := range r.partFingerprints() {
 		t.answered.Add(part, now)
-		for _, x := range t.crashes {
-			t.clear(x, func(k suspectKey) bool { return k.part == part })
+		for i := range t.byPart[part] {
+			t.clear(t.crashes[i], func(k suspectKey) bool { return k.part == part })
 		}
+		delete(t.byPart, part)
 	}
 }
 
@@ -154,7 +160,7 @@
 	}
 	changed := false
 	for _, s := range c.Suspects {
-		changed = t.addSuspect(now, x, s) || changed
+		changed = t.addSuspect(now, c.Incarnation, x, s) || changed
 	}
 	t.markChanged(x, changed)
 	t.evictOldest()
@@ -162,7 +168,7 @@
 
 // addSuspect adds a suspect to a crash, or what is new of a known one. It reports
 // whether anything was.
-func (t *PartTable) addSuspect(now time.Time, x *partCrash, s PartSuspect) bool {
+func (t *PartTable) addSuspect(now time.Time, i Incarnation, x *partCrash, s PartSuspect) bool {
 	key := suspectKey{s.Part, s.Request}
 	at, known := t.answered.Peek(s.Part)
 	answered, cleared := s.Answered || known, s.Cleared || known && at.After(x.at)
@@ -171,6 +177,10 @@
 		if len(x.suspects) >= maxPartSuspects || !s.Began && x.waiting() >= maxWaitingSuspects {
 			return false
 		}
+		if t.byPart[s.Part] == nil {
+			t.byPart[s.Part] = map[Incarnation]struct{}{}
+		}
+		t.byPart[s.Part][i] = struct{}{}
 		x.suspects[key] = &partSuspect{since: now.Add(-s.Age), began: s.Began, answered: answered, cleared: cleared}
 		return true
 	}
@@ -224,25 +234,41 @@
 	}
 }
 
-// evictOldest removes the oldest crashes beyond maxCrashes.
+// evictOldest removes the oldest crashes beyond maxPartCrashes.
 func (t *PartTable) evictOldest() {
-	for len(t.crashes) > maxCrashes {
+	for len(t.crashes) > maxPartCrashes {
 		var oldest Incarnation
 		for i, x := range t.crashes {
 			if o := t.crashes[oldest]; o == nil || x.at.Before(o.at) {
 				oldest = i
 			}
 		}
-		delete(t.crashes, oldest)
-		t.revision++
+		t.remove(oldest)
 	}
 }
 
+// expiryInterval is the time between two searches for crashes that are too old.
+const expiryInterval = time.Second
+
 func (t *PartTable) expire(now time.Time) {
+	if now.Sub(t.expired) < expiryInterval && !now.Before(t.expired) {
+		return
+	}
+	t.expired = now
 	for i, x := range t.crashes {
 		if now.Sub(x.at) >= t.lifetime {
-			delete(t.crashes, i)
-			t.revision++
+			t.remove(i)
+		}
+	}
+}
+
+func (t *PartTable) remove(i Incarnation) {
+	for k := range t.crashes[i].suspects {
+		delete(t.byPart[k.part], i)
+		if len(t.byPart[k.part]) == 0 {
+			delete(t.byPart, k.part)
 		}
 	}
+	delete(t.crashes, i)
+	t.revision++
 }
