Count a crash against parts of prompts only once no router has reached the endpoint again

Callers of all routers were refused for a part that all their prompts share, while two of three routers were cut from the endpoints: 56 of 242 requests after the cut had ended, and no answer could clear the part any more. Cause: connections that a cut resets one after the other look like a chain of crashes for 0.3 s, sooner than a router with its links can tell that the endpoints live. A crash settles 1.2 s after it, or when the endpoint is known to have ended; the head of an answer clears it as a whole answer did; a crash under which no answer had begun counts only if the endpoint has ended.

--- a/internal/ctrl/endpoint.go
+++ b/internal/ctrl/endpoint.go
@@ -83,7 +83,9 @@
 // recordCrash records that an endpoint process has ended. It names no suspected
 // request bodies: only the routers that sent them know them.
 func (c *Control) recordCrash(now time.Time, id ident.EndpointID, boot string) {
-	c.crashes.Record(now, poison.Incarnation{Endpoint: id, BootID: boot}, nil)
+	crash := poison.Incarnation{Endpoint: id, BootID: boot}
+	c.crashes.Record(now, crash, nil)
+	c.parts.Confirm(func(i poison.Incarnation) bool { return i == crash })
 }
 
 func (c *Control) loadPollFailed(now time.Time, id ident.EndpointID) {
--- a/internal/ctrl/steward_test.go
+++ b/internal/ctrl/steward_test.go
@@ -174,6 +174,7 @@
 			}})
 			cl.advance(500 * time.Millisecond)
 		}
+		cl.advance(1500 * time.Millisecond) // no endpoint turns out to live
 		for _, n := range cl.nodes {
 			refused := func(part string) bool {
 				_, refused := n.view.RefusedParts.Find(poison.Subject{Service: "condor", Parts: []string{part}})
--- a/internal/poison/part_table.go
+++ b/internal/poison/part_table.go
@@ -14,8 +14,8 @@
 	maxAnsweredParts = 8192 // parts whose latest answer is kept
 	maxPartCrashes   = 256  // crashes kept
 	maxPartSuspects  = 256  // suspects kept per crash
-	// maxWaitingSuspects is the number of suspects that one router adds to a crash
-	// while no answer is known that had begun.
+	// maxWaitingSuspects is the number of suspects of a crash that are kept although
+	// their answers had not begun.
 	maxWaitingSuspects = 16
 )
 
@@ -47,7 +47,10 @@
 type PartCrash struct {
 	Incarnation Incarnation   `json:"boot"`
 	Age         time.Duration `json:"age"` // from the crash to the report
-	Suspects    []PartSuspect `json:"suspects"`
+	// Ended reports that the incarnation is known to have ended, and not only its
+	// connections to a router.
+	Ended    bool          `json:"ended,omitempty"`
+	Suspects []PartSuspect `json:"suspects"`
 }
 
 // PartTable decides which parts of prompts are refused since endpoints crashed while
@@ -71,6 +74,7 @@
 type partCrash struct {
 	at       time.Time // by this router's clock
 	revision Revision  // of the latest change
+	ended    bool      // see PartCrash
 	suspects partSuspects
 }
 
@@ -116,6 +120,17 @@
 	}
 }
 
+// Confirm records that incarnations whose crash was taken from their connections have
+// ended indeed, those for which ended returns true.
+func (t *PartTable) Confirm(ended func(Incarnation) bool) {
+	for i, x := range t.crashes {
+		if !x.ended && ended(i) {
+			x.ended = true
+			t.markChanged(x, true)
+		}
+	}
+}
+
 // ownCrash returns the crash that a run of this router broke at.
 func ownCrash(now time.Time, r RunEnd) PartCrash {
 	since := r.Began
@@ -158,7 +173,8 @@
 		x = &partCrash{at: now.Add(-c.Age), suspects: partSuspects{}}
 		t.crashes[c.Incarnation] = x
 	}
-	changed := false
+	changed := c.Ended && !x.ended
+	x.ended = x.ended || c.Ended
 	for _, s := range c.Suspects {
 		changed = t.addSuspect(now, c.Incarnation, x, s) || changed
 	}
@@ -211,7 +227,7 @@
 		if x.revision <= since {
 			continue
 		}
-		c := PartCrash{Incarnation: i, Age: now.Sub(x.at)}
+		c := PartCrash{Incarnation: i, Age: now.Sub(x.at), Ended: x.ended}
 		for k, s := range x.suspects {
 			c.Suspects = append(c.Suspects, PartSuspect{
 				Part: k.part, Request: k.request, Began: s.began, Age: now.Sub(s.since), Answered: s.answered, Cleared: s.cleared,
--- a/internal/poison/part_verdict.go
+++ b/internal/poison/part_verdict.go
@@ -13,6 +13,10 @@
 	// the crashes as well.
 	refusalChain = 3
 	certainChain = 5
+	// crashSettle is the time from a crash until it counts, unless the endpoint is known
+	// to have ended. Connections to one that lives may break as well; any router that
+	// gets an answer from it meanwhile clears it.
+	crashSettle = 1200 * time.Millisecond
 	// minPartRequests is the number of requests that must have crashed endpoints. One
 	// request that does so is refused as a whole.
 	minPartRequests = 2
@@ -39,6 +43,7 @@
 type partVerdict struct {
 	parts    RefusedParts
 	explains map[Incarnation]bool
+	until    time.Time // when the next crash settles, zero for none
 }
 
 // Refused returns the parts that are refused.
@@ -66,12 +71,12 @@
 // first; what it explains does not count against the parts that came along with it.
 func (t *PartTable) decide(now time.Time) partVerdict {
 	t.expire(now)
-	if t.decided == t.revision && t.verdict.parts != nil {
+	if t.decided == t.revision && t.verdict.parts != nil && (t.verdict.until.IsZero() || now.Before(t.verdict.until)) {
 		return t.verdict
 	}
 	v := partVerdict{parts: RefusedParts{}, explains: map[Incarnation]bool{}}
 	for {
-		best, ok := t.mostSuspect(v)
+		best, ok := t.mostSuspect(now, v)
 		if !ok {
 			break
 		}
@@ -80,6 +85,11 @@
 			v.explains[i] = v.explains[i] || x.suspects.holds(best)
 		}
 	}
+	for _, x := range t.crashes {
+		if settles := x.at.Add(crashSettle); !x.ended && settles.After(now) && (v.until.IsZero() || settles.Before(v.until)) {
+			v.until = settles
+		}
+	}
 	t.verdict, t.decided = v, t.revision
 	return v
 }
@@ -92,9 +102,9 @@
 }
 
 // mostSuspect returns the part to be refused next, if there is one.
-func (t *PartTable) mostSuspect(v partVerdict) (ident.Fingerprint, bool) {
+func (t *PartTable) mostSuspect(now time.Time, v partVerdict) (ident.Fingerprint, bool) {
 	var cases []partCase
-	for part, interruptions := range t.interruptions(v) {
+	for part, interruptions := range t.interruptions(now, v) {
 		if chain, requests := successive(interruptions); chain >= refusalChain && requests >= minPartRequests {
 			cases = append(cases, partCase{part: part, chain: chain, answered: interruptions[0].answered})
 		}
@@ -127,16 +137,20 @@
 }
 
 // interruptions returns the crashes that count against each part, in order of time:
-// those that no refused part explains and of which the part is not cleared. If the
-// endpoint had begun any answer, only the prompts of those count.
-func (t *PartTable) interruptions(v partVerdict) map[ident.Fingerprint][]interruption {
+// those that have settled, that no refused part explains and of which the part is not cleared. If the
+// endpoint had begun any answer, only the prompts of those count; if it had not, it must be
+// known to have ended.
+func (t *PartTable) interruptions(now time.Time, v partVerdict) map[ident.Fingerprint][]interruption {
 	all := map[ident.Fingerprint][]interruption{}
 	for _, i := range t.byTime() {
 		x := t.crashes[i]
-		if v.explains[i] {
+		if v.explains[i] || !x.ended && now.Sub(x.at) < crashSettle {
 			continue
 		}
 		began := x.suspects.anyBegan()
+		if !began && !x.ended {
+			continue // the links may have been cut
+		}
 		found := map[ident.Fingerprint]*interruption{}
 		for k, s := range x.suspects {
 			if s.cleared || s.began != began {
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -14,6 +14,7 @@
 	"github.com/marigoldscale/marigoldscale/internal/poison"
 	"github.com/marigoldscale/marigoldscale/internal/proxy"
 	"github.com/marigoldscale/marigoldscale/internal/route"
+	"github.com/marigoldscale/marigoldscale/internal/world"
 	"github.com/marigoldscale/marigoldscale/pkg/ident"
 )
 
@@ -217,6 +218,7 @@
 	switch x := e.(type) {
 	case proxy.HeadReceived:
 		c.recordContact(x.Attempt, true)
+		c.observeLife(x.Attempt)
 		c.recordAnswer(x.Attempt)
 		c.recordNotices(x.Attempt, x.Head)
 	case proxy.ResponseReceived:
@@ -310,10 +312,23 @@
 	}
 	c.server.control.ObserveRun(now, poison.RunEnd{
 		Subject: c.subject, Started: r.Started, Began: c.exchanges[r.Attempt].began, Broke: r.Disconnected, Complete: r.Complete,
-		Incarnation: poison.Incarnation{Endpoint: r.Endpoint.ID, BootID: strconv.FormatInt(r.Endpoint.StartedMillis, 10)},
+		Incarnation: incarnationOf(r.Endpoint),
 	})
 }
 
+// observeLife reports that an endpoint has begun an answer, so that it lives.
+func (c *call) observeLife(n proxy.Attempt) {
+	x := c.exchanges[n]
+	if isRouter(x.endpoint.ID) {
+		return
+	}
+	c.server.control.ObserveRun(c.server.clock(), poison.RunEnd{Subject: c.subject, Incarnation: incarnationOf(x.endpoint), Started: x.started, Began: x.began})
+}
+
+func incarnationOf(e *world.Endpoint) poison.Incarnation {
+	return poison.Incarnation{Endpoint: e.ID, BootID: strconv.FormatInt(e.StartedMillis, 10)}
+}
+
 // sharedParts returns the ids of the parts of a prompt that other requests may share,
 // all but the last.
 func sharedParts(parts []route.PromptPart) []string {
--- a/internal/syncer/controller.go
+++ b/internal/syncer/controller.go
@@ -317,6 +317,7 @@
 		c.view.Store(c.world.View())
 		c.lock.Unlock()
 		c.logChanges(changes)
+		c.confirmCrashes(now)
 		c.pinActiveSessions(now)
 		c.advanceRollouts(ctx, now)
 	}
--- a/internal/syncer/crashes.go
+++ b/internal/syncer/crashes.go
@@ -1,6 +1,7 @@
 package syncer
 
 import (
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -78,6 +79,22 @@
 	}
 }
 
+// confirmCrashes confirms the crashes of endpoints that have ended, by what is known of
+// them.
+func (c *Controller) confirmCrashes(now time.Time) {
+	v := c.View()
+	c.lock.Lock()
+	c.crashes.parts.Confirm(func(i poison.Incarnation) bool {
+		e, known := v.Endpoint(i.Endpoint)
+		return !known || e.StartedMillis != 0 && i.BootID != strconv.FormatInt(e.StartedMillis, 10)
+	})
+	before, after := c.crashes.refused, c.crashes.parts.Refused(now)
+	c.lock.Unlock()
+	if len(before) != len(after) {
+		c.announceCrashes(now)
+	}
+}
+
 // FatalCause returns why a request is not to be run again since endpoints have ended
 // while they ran it, or poison.CauseNone. It names the part of the prompt, if one is the
 // cause.
