--- a/internal/poison/part_verdict.go
+++ b/internal/poison/part_verdict.go
@@ -136,10 +136,10 @@
 	answered bool
 }
 
-// interruptions returns the crashes that count against each part, in order of time:
-// those that have settled, that no refused part explains and of which the part is not cleared. If the
-// endpoint had begun any answer, only the prompts of those count; if it had not, it must be
-// known to have ended.
+// interruptions returns the crashes that count against each part, in order of time: those
+// that have settled, that no refused part explains and of which the part is not cleared. If
+// the endpoint had begun any answer, only the prompts of those count; if it had not, it
+// must be known to have ended.
 func (t *PartTable) interruptions(now time.Time, v partVerdict) map[ident.Fingerprint][]interruption {
 	all := map[ident.Fingerprint][]interruption{}
 	for _, i := range t.byTime() {
