Count a crash against the runs that routers had stopped waiting for

Cause: what crashes endpoints was counted where a run's connection broke. A run that was given up, since its endpoint was silent for half the route's objective, its time was over or its caller had left, is cancelled, and a moment later its endpoint ended under it: that counted against the other requests there, and never against this one. A run that goes on after its caller has left (it must not run twice) ended unseen as well. If the only other endpoint was gone, a whole attempt of the caller counted for nothing. Class: evidence that is gathered only as long as somebody waits for an answer.

Change: poison.WithdrawnRuns keeps such runs for some seconds. Once their endpoint is found to have ended, by a broken run of any router, a refused connection (new, told to all as a crash without suspects) or its entry's end, they count as runs that broke. They are dropped if the endpoint answers a run begun over a second later, or the request completes. Ends of runs that outlive their caller are observed. `attempt given up` names fingerprint and start of the endpoint, `run broke` comes for withdrawn runs too.

Not chosen: to leave given-up runs open (costs the endpoints their time, GONE), and to count each as a crash at once (a silent link would have requests refused).

--- a/internal/poison/crash_table.go
+++ b/internal/poison/crash_table.go
@@ -206,11 +206,11 @@
 		return false
 	}
 	x := t.crashes[c.Incarnation]
-	if x == nil {
+	changed := x == nil // others may suspect bodies of it
+	if changed {
 		x = &crash{at: now.Add(-c.Age), suspects: make(map[ident.Fingerprint]struct{})}
 		t.crashes[c.Incarnation] = x
 	}
-	changed := false
 	for _, body := range c.Suspects {
 		changed = t.addSuspect(x, c.Incarnation, body) || changed
 	}
--- a/internal/poison/part_table.go
+++ b/internal/poison/part_table.go
@@ -99,8 +99,11 @@
 	}
 }
 
-// Observe records the end of a run.
+// Observe records the end of a run. One that was withdrawn tells nothing.
 func (t *PartTable) Observe(now time.Time, r RunEnd) {
+	if r.Withdrawn {
+		return
+	}
 	if r.Broke {
 		t.add(now, ownCrash(now, r))
 		return
--- a/internal/poison/run_table.go
+++ b/internal/poison/run_table.go
@@ -48,6 +48,7 @@
 	Began       time.Time // when its answer began, zero if it did not
 	Broke       bool      // the connection ended before the answer did
 	Complete    bool      // the answer came whole
+	Withdrawn   bool      // the router stopped waiting for the answer, see WithdrawnRuns
 }
 
 // RunTable decides which requests are not run again since endpoints ended while
@@ -62,8 +63,11 @@
 	return &RunTable{crashes: NewCrashTable(lifetime)}
 }
 
-// Observe records the end of a run.
+// Observe records the end of a run. One that was withdrawn tells nothing.
 func (t *RunTable) Observe(now time.Time, r RunEnd) {
+	if r.Withdrawn {
+		return
+	}
 	if r.Broke {
 		t.crashes.Record(now, r.Incarnation, []ident.Fingerprint{r.Fingerprint})
 		return
@@ -76,6 +80,13 @@
 	}
 }
 
+// RecordEnd records that an incarnation has ended, whatever it ran.
+func (t *RunTable) RecordEnd(now time.Time, i Incarnation) { t.crashes.Record(now, i, nil) }
+
+// CrashTime returns when an incarnation crashed, as far as this router knows, or false if
+// it does not count as crashed.
+func (t *RunTable) CrashTime(i Incarnation) (time.Time, bool) { return t.crashes.crashTime(i) }
+
 // CrashCount returns the number of endpoints that count as crashed by a request: those
 // whose crash no other cause explains.
 func (t *RunTable) CrashCount(now time.Time, f ident.Fingerprint, explained func(Incarnation) bool) int {
--- a/internal/proxy/action.go
+++ b/internal/proxy/action.go
@@ -75,6 +75,7 @@
 	Complete       bool          // the response came whole
 	Disconnected   bool          // the connection broke before the response was complete
 	Unresponsive   bool          // abandoned because no response arrived in time
+	Withdrawn      bool          // cancelled while no endpoint had answered the request
 	Duration       time.Duration // since dispatch
 	FirstLatency   time.Duration // to the response or first event, 0 if none arrived
 	BaseEstimate   time.Duration // predicted latency before correction by observed latencies
--- a/internal/proxy/termination.go
+++ b/internal/proxy/termination.go
@@ -60,7 +60,7 @@
 func (m *Machine) abandonAttempt(now time.Time, n Attempt) []Action {
 	actions := m.cancelAttempt(n, route.OutcomeFailed, false)
 	report := actions[len(actions)-1].(Report)
-	report.Unresponsive, report.Duration = true, now.Sub(m.attempts[n].started)
+	report.Unresponsive, report.Withdrawn, report.Duration = true, true, now.Sub(m.attempts[n].started)
 	actions[len(actions)-1] = report
 	return actions
 }
@@ -114,4 +114,14 @@
 	return actions
 }
 
-func (m *Machine) cancelAll() []Action { return m.cancelOthers(-1) }
+// cancelAll cancels all running attempts, whose answers are no longer waited for.
+func (m *Machine) cancelAll() []Action {
+	actions := m.cancelOthers(-1)
+	for i, a := range actions {
+		if report, ok := a.(Report); ok {
+			report.Withdrawn = true
+			actions[i] = report
+		}
+	}
+	return actions
+}
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -131,6 +132,7 @@
 // end ends the request and gives the memory of its responses back.
 func (c *call) end() {
 	close(c.done)
+	c.observeUnread()
 	for _, x := range c.exchanges {
 		x.memory.release()
 	}
@@ -205,12 +207,19 @@
 	}()
 }
 
-// sendEvent passes an attempt's event to run. It drops the event if the request
-// is over.
+// sendEvent passes an attempt's event to run. If the request is over, the event only
+// tells how the endpoint fared.
 func (c *call) sendEvent(e proxy.Event) {
+	select {
+	case <-c.done:
+		c.observeLateEnd(e)
+		return
+	default:
+	}
 	select {
 	case c.events <- e:
 	case <-c.done:
+		c.observeLateEnd(e)
 	}
 }
 
@@ -238,6 +247,7 @@
 		if c.exchanges[x.Attempt].began.IsZero() {
 			c.recordContact(x.Attempt, false)
 		}
+		c.observeRefusal(c.exchanges[x.Attempt])
 		if e := c.exchanges[x.Attempt].endpoint; x.Refused && !isRouter(e.ID) {
 			c.server.reach.Unconnected(c.server.clock(), e.Service, e.ID)
 		}
@@ -288,7 +298,8 @@
 	if r.Unresponsive {
 		c.recordContact(r.Attempt, false)
 		c.warn("attempt given up", zap.Int("attempt", int(r.Attempt)), zap.String("endpoint", string(r.Endpoint.ID)),
-			zap.Duration("silent", r.Duration), zap.Duration("expected", r.BaseEstimate))
+			zap.Duration("silent", r.Duration), zap.Duration("expected", r.BaseEstimate),
+			zap.Uint64("fingerprint", uint64(c.subject.Fingerprint)), zap.String("boot", incarnationOf(r.Endpoint).BootID))
 	}
 	s.loads.End(now, r.Endpoint.ID, r.Outcome)
 	if r.FirstLatency > 0 {
@@ -308,15 +319,65 @@
 // connection. Other ends do not tell whether the endpoint lives.
 func (c *call) observeRun(now time.Time, r proxy.Report) {
 	answered := r.FirstLatency > 0 && (r.Outcome == route.OutcomeDone || r.Outcome == route.OutcomeFailed)
-	if !r.Disconnected && !answered {
+	if !r.Disconnected && !answered && !r.Withdrawn {
 		return
 	}
-	c.server.control.ObserveRun(now, poison.RunEnd{
-		Subject: c.subject, Started: r.Started, Began: c.exchanges[r.Attempt].began, Broke: r.Disconnected, Complete: r.Complete,
+	end := poison.RunEnd{
+		Subject: c.subject, Started: r.Started, Broke: r.Disconnected, Complete: r.Complete, Withdrawn: r.Withdrawn,
 		Incarnation: incarnationOf(r.Endpoint),
+	}
+	switch {
+	case !r.Withdrawn:
+		end.Began = c.exchanges[r.Attempt].began
+	case r.FirstLatency > 0: // the exchange may go on at this moment
+		end.Began = r.Started.Add(r.FirstLatency)
+	}
+	c.server.control.ObserveRun(now, end)
+}
+
+// observeLateEnd reports how a run ended that went on after its caller had left.
+func (c *call) observeLateEnd(e proxy.Event) {
+	var x *exchange
+	var complete bool
+	switch e := e.(type) {
+	case proxy.ResponseReceived:
+		x, complete = c.exchanges[e.Attempt], !e.Head.NotRun && !e.Head.WrongEndpoint
+	case proxy.AttemptFailed:
+		if !e.Sent {
+			return
+		}
+		x = c.exchanges[e.Attempt]
+	default:
+		return
+	}
+	if isRouter(x.endpoint.ID) {
+		return
+	}
+	_, broke := e.(proxy.AttemptFailed)
+	c.server.control.ObserveRun(c.server.clock(), poison.RunEnd{
+		Subject: c.subject, Incarnation: incarnationOf(x.endpoint), Started: x.started, Began: x.began, Broke: broke, Complete: complete,
 	})
 }
 
+// observeUnread reports the ends of attempts that came too late to be read.
+func (c *call) observeUnread() {
+	for {
+		select {
+		case e := <-c.events:
+			c.observeLateEnd(e)
+		default:
+			return
+		}
+	}
+}
+
+// observeRefusal reports that an endpoint has ended, if a new connection was refused.
+func (c *call) observeRefusal(x *exchange) {
+	if errors.Is(x.cause, syscall.ECONNREFUSED) && !isRouter(x.endpoint.ID) {
+		c.server.control.ObserveEnd(c.server.clock(), incarnationOf(x.endpoint))
+	}
+}
+
 // observeLife reports that an endpoint has begun an answer, so that it lives.
 func (c *call) observeLife(n proxy.Attempt) {
 	x := c.exchanges[n]
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -203,6 +203,12 @@
 	f.runs.Observe(now, r)
 }
 
+func (f *routerFixture) ObserveEnd(now time.Time, i poison.Incarnation) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.runs.RecordEnd(now, i)
+}
+
 func (f *routerFixture) FatalCause(now time.Time, s poison.Subject) (poison.Cause, string) {
 	f.lock.Lock()
 	defer f.lock.Unlock()
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -59,6 +59,8 @@
 	Observe(now time.Time, route paths.RouteID, session ident.SessionKey, report proxy.Report)
 	// ObserveRun records how a run of a request ended.
 	ObserveRun(now time.Time, r poison.RunEnd)
+	// ObserveEnd reports that an endpoint has ended, whatever it ran.
+	ObserveEnd(now time.Time, i poison.Incarnation)
 	// FatalCause returns why a request is not to be run again since endpoints have
 	// ended while they ran it, or poison.CauseNone. It names the part of the prompt, if
 	// one is the cause.
--- a/internal/syncer/controller_test.go
+++ b/internal/syncer/controller_test.go
@@ -742,6 +742,39 @@
 		}
 	})
 
+	// Guards against runs that a router has given up on, so that it does not see their
+	// endpoints end.
+	It("counts a run that was withdrawn once any router finds that its endpoint has ended", func() {
+		routers := startRouters(newPopulatedStore(), 2)
+		for _, r := range routers {
+			Eventually(func() bool { return r.View().Ready }, "5s").Should(BeTrue())
+		}
+		for i := range 3 {
+			incarnation := poison.Incarnation{Endpoint: ident.EndpointID(fmt.Sprint("e", i)), BootID: "0"}
+			routers[0].ObserveRun(time.Now(), poison.RunEnd{
+				Subject: poison.Subject{Fingerprint: 7}, Incarnation: incarnation, Started: time.Now().Add(-time.Second), Withdrawn: true,
+			})
+			routers[1].ObserveEnd(time.Now(), incarnation)
+		}
+		for _, r := range routers {
+			Eventually(func() bool { return isFatal(r, 7) }, "3s").Should(BeTrue())
+		}
+	})
+
+	It("counts a run that was withdrawn once the entry of its endpoint is gone", func() {
+		s := newPopulatedStore()
+		routers := startRouters(s, 1)
+		Eventually(func() bool { return routers[0].View().Ready }, "5s").Should(BeTrue())
+		for i := range 3 {
+			routers[0].ObserveRun(time.Now(), poison.RunEnd{
+				Subject: poison.Subject{Fingerprint: 7}, Started: time.Now().Add(-time.Second), Withdrawn: true,
+				Incarnation: poison.Incarnation{Endpoint: ident.EndpointID(fmt.Sprint("e", i)), BootID: "0"},
+			})
+			s.remove(plat.Key(fmt.Sprint("e/e", i)))
+		}
+		Eventually(func() bool { return isFatal(routers[0], 7) }, "5s").Should(BeTrue())
+	})
+
 	// Guards against a part of a prompt that each router stops only after it has crashed
 	// endpoints through that router.
 	It("refuses a part of prompts at every router once endpoints have ended under it at several", func() {
--- a/internal/syncer/crashes.go
+++ b/internal/syncer/crashes.go
@@ -16,14 +16,53 @@
 // crashRecord holds what is known of endpoints that ended while requests ran, and which
 // requests are not run again for it. The caller must hold Controller.lock.
 type crashRecord struct {
-	runs    *poison.RunTable
-	parts   *poison.PartTable
-	refused poison.RefusedParts // as of the latest change
-	changed chan struct{}       // closed when something may be refused that was not
+	runs      *poison.RunTable
+	parts     *poison.PartTable
+	withdrawn *poison.WithdrawnRuns // of this router
+	refused   poison.RefusedParts   // as of the latest change
+	changed   chan struct{}         // closed when something may be refused that was not
 }
 
 func newCrashRecord() *crashRecord {
-	return &crashRecord{runs: poison.NewRunTable(crashMemory), parts: poison.NewPartTable(crashMemory), changed: make(chan struct{})}
+	return &crashRecord{
+		runs: poison.NewRunTable(crashMemory), parts: poison.NewPartTable(crashMemory), withdrawn: poison.NewWithdrawnRuns(), changed: make(chan struct{}),
+	}
+}
+
+// observe records the end of a run. It returns the runs that count as broken by it: the
+// run itself, if it broke, and those that were withdrawn from the same endpoint before.
+func (r *crashRecord) observe(now time.Time, end poison.RunEnd) []poison.RunEnd {
+	var broken []poison.RunEnd
+	switch {
+	case end.Withdrawn:
+		r.withdrawn.Add(now, end)
+	case end.Broke:
+		broken = append(broken, end)
+		r.count(now, end)
+	default:
+		r.withdrawn.Answered(end)
+		r.count(now, end)
+	}
+	return append(broken, r.settle(now, end.Incarnation)...)
+}
+
+func (r *crashRecord) count(now time.Time, end poison.RunEnd) {
+	r.runs.Observe(now, end)
+	r.parts.Observe(now, end)
+}
+
+// settle counts the runs that were withdrawn from an endpoint against their requests if
+// it has crashed, and returns them.
+func (r *crashRecord) settle(now time.Time, i poison.Incarnation) []poison.RunEnd {
+	at, crashed := r.runs.CrashTime(i)
+	if !crashed {
+		return nil
+	}
+	broken := r.withdrawn.TakeCrashed(now, i, at)
+	for _, end := range broken {
+		r.count(now, end)
+	}
+	return broken
 }
 
 // explained returns a function that reports whether a refused part explains a crash.
@@ -54,13 +93,31 @@
 // ObserveRun records how a run of a request ended.
 func (c *Controller) ObserveRun(now time.Time, r poison.RunEnd) {
 	c.lock.Lock()
-	c.crashes.runs.Observe(now, r)
-	c.crashes.parts.Observe(now, r)
-	count := c.crashes.runs.CrashCount(now, r.Fingerprint, c.crashes.explained(now))
+	broken := c.crashes.observe(now, r)
+	c.lock.Unlock()
+	c.reportBroken(now, broken)
+}
+
+// ObserveEnd records that an endpoint has ended, whatever it ran.
+func (c *Controller) ObserveEnd(now time.Time, i poison.Incarnation) {
+	c.lock.Lock()
+	c.crashes.runs.RecordEnd(now, i)
+	broken := c.crashes.settle(now, i)
 	c.lock.Unlock()
-	if r.Broke {
+	c.reportBroken(now, broken)
+}
+
+// reportBroken logs runs that broke, or that were withdrawn before their endpoint crashed,
+// and tells requests in progress.
+func (c *Controller) reportBroken(now time.Time, broken []poison.RunEnd) {
+	for _, r := range broken {
+		c.lock.Lock()
+		count := c.crashes.runs.CrashCount(now, r.Fingerprint, c.crashes.explained(now))
+		c.lock.Unlock()
 		c.log.Info("run broke", zap.Uint64("fingerprint", uint64(r.Fingerprint)), zap.String("endpoint", string(r.Incarnation.Endpoint)),
 			zap.String("boot", r.Incarnation.BootID), zap.Int("crashes", count), zap.Bool("began", !r.Began.IsZero()), zap.Strings("parts", r.Parts))
+	}
+	if len(broken) > 0 {
 		c.announceCrashes(now)
 	}
 }
@@ -83,13 +140,22 @@
 // them.
 func (c *Controller) confirmCrashes(now time.Time) {
 	v := c.View()
-	c.lock.Lock()
-	c.crashes.parts.Confirm(func(i poison.Incarnation) bool {
+	ended := func(i poison.Incarnation) bool {
 		e, known := v.Endpoint(i.Endpoint)
 		return !known || e.StartedMillis != 0 && i.BootID != strconv.FormatInt(e.StartedMillis, 10)
-	})
+	}
+	var broken []poison.RunEnd
+	c.lock.Lock()
+	for _, i := range c.crashes.withdrawn.Incarnations() {
+		if ended(i) {
+			c.crashes.runs.RecordEnd(now, i)
+			broken = append(broken, c.crashes.settle(now, i)...)
+		}
+	}
+	c.crashes.parts.Confirm(ended)
 	before, after := c.crashes.refused, c.crashes.parts.Refused(now)
 	c.lock.Unlock()
+	c.reportBroken(now, broken)
 	if len(before) != len(after) {
 		c.announceCrashes(now)
 	}
@@ -143,6 +209,11 @@
 	c.lock.Lock()
 	c.crashes.runs.Merge(now, *d)
 	c.crashes.parts.Merge(now, d.Parts)
+	var broken []poison.RunEnd
+	for _, crash := range d.Crashes {
+		broken = append(broken, c.crashes.settle(now, crash.Incarnation)...)
+	}
 	c.lock.Unlock()
+	c.reportBroken(now, broken)
 	c.announceCrashes(now)
 }
