Do not take an endpoint's error for a whole answer that clears a request of crashes

What callers saw: a request that crashes endpoints could be sent on.

Cause: a whole answer clears a request of the crashes that it is suspected of, and a 500 was one. An endpoint may fail part of its requests before it runs them, so that such an error tells nothing of the request.

Change: a response with 5xx is not complete, on both interfaces. It still shows that its endpoint lives.

Evidence: specs of proxy and serve that failed before for 500 (and 503).

--- a/internal/poison/run_table.go
+++ b/internal/poison/run_table.go
@@ -47,7 +47,7 @@
 	Started     time.Time
 	Began       time.Time // when its answer began, zero if it did not
 	Broke       bool      // the connection ended before the answer did
-	Complete    bool      // the answer came whole
+	Complete    bool      // the answer came whole, and is no error of the endpoint
 	Withdrawn   bool      // the router stopped waiting for the answer, see WithdrawnRuns
 }
 
--- a/internal/proxy/action.go
+++ b/internal/proxy/action.go
@@ -72,7 +72,7 @@
 	Started        time.Time     // when it was dispatched
 	Failed         bool          // the endpoint ran the request and failed
 	Handoff        bool          // Endpoint stands for another router
-	Complete       bool          // the response came whole
+	Complete       bool          // the response came whole, and is no error of the endpoint
 	Disconnected   bool          // the connection broke before the response was complete
 	Unresponsive   bool          // abandoned because no response arrived in time
 	Withdrawn      bool          // cancelled while no endpoint had answered the request
--- a/internal/proxy/machine_test.go
+++ b/internal/proxy/machine_test.go
@@ -91,6 +91,35 @@
 )
 
 var _ = Describe("Machine", func() {
+	// Guards against an error of an endpoint that fails before it runs a request, which
+	// cleared it of the crashes of others.
+	It("does not report an error as a complete answer", func() {
+		for status, complete := range map[int]bool{200: true, 404: true, 500: false, 503: false} {
+			d := newDriver(idempotentRoute, nil, 10)
+			out := d.step(10, proxy.ResponseReceived{Attempt: 0, Head: proxy.ResponseHead{Status: status, Signed: true, Confidence: -1}})
+			Expect(actionsOf[proxy.Report](out)).To(ConsistOf(HaveField("Complete", complete)), "status %d", status)
+		}
+	})
+
+	It("reports an attempt as withdrawn if nobody waits for its answer any longer", func() {
+		withdrawn := func(d *driver) []proxy.Report {
+			return slices.DeleteFunc(actionsOf[proxy.Report](d.actions), func(r proxy.Report) bool { return !r.Withdrawn })
+		}
+		silent := newDriver(idempotentRoute, nil, 10)
+		silent.step(600, proxy.TimerFired{})
+		Expect(withdrawn(silent)).To(ConsistOf(HaveField("Attempt", proxy.Attempt(0))))
+		silent.step(610, proxy.ResponseReceived{Attempt: 1, Head: signedHead})
+		Expect(withdrawn(silent)).To(HaveLen(1))
+		for _, e := range []proxy.Event{proxy.CallerGone{}, proxy.FoundFatal{Reason: proxy.ReasonFatal}} {
+			d := newDriver(idempotentRoute, nil, 10)
+			d.step(10, e)
+			Expect(withdrawn(d)).To(HaveLen(1))
+		}
+		late := newDriver(idempotentRoute, nil, 0)
+		late.step(10000, proxy.TimerFired{})
+		Expect(withdrawn(late)).To(HaveLen(1))
+	})
+
 	Describe("a non-idempotent request", func() {
 		It("is not retried once it may have run", func() {
 			d := newDriver(onceRoute, nil, 10)
--- a/internal/proxy/response.go
+++ b/internal/proxy/response.go
@@ -26,7 +26,10 @@
 	m.mayHaveRun = true
 	a.firstLatency = now.Sub(a.started)
 	failed := h.Status >= http.StatusInternalServerError
-	actions := completed(m.finishAttempt(e.Attempt, outcomeOf(failed), failed))
+	actions := m.finishAttempt(e.Attempt, outcomeOf(failed), failed)
+	if !failed {
+		actions = completed(actions)
+	}
 	if failed && !a.handoff && m.mayRetry(now) {
 		return append(actions, m.retryWithinBudget(now)...)
 	}
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -341,7 +341,7 @@
 	var complete bool
 	switch e := e.(type) {
 	case proxy.ResponseReceived:
-		x, complete = c.exchanges[e.Attempt], !e.Head.NotRun && !e.Head.WrongEndpoint
+		x, complete = c.exchanges[e.Attempt], !e.Head.NotRun && !e.Head.WrongEndpoint && e.Head.Status < http.StatusInternalServerError
 	case proxy.AttemptFailed:
 		if !e.Sent {
 			return
--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
@@ -97,7 +98,7 @@
 	} else {
 		ended.Answer, ended.Error = t.send(ctx, post)
 	}
-	t.reportEnd(ctx, ended.Error)
+	t.reportEnd(ctx, ended)
 	return ended
 }
 
@@ -191,13 +192,15 @@
 // reportEnd reports how the attempt ended to the load tracker, the owner of the body
 // and the control thread. A crash is reported to the owner before the caller is
 // answered, so that a retry by the caller is treated as suspect on every router.
-func (t *attempt) reportEnd(ctx context.Context, err error) {
-	spec := t.action.Endpoint.Spec
+func (t *attempt) reportEnd(ctx context.Context, ended flow.AttemptEnded) {
+	spec, err := t.action.Endpoint.Spec, ended.Error
+	// An endpoint may fail with an error before it runs the body.
+	complete := err == nil && ended.Answer.Status < http.StatusInternalServerError
 	cancelled := ctx.Err() != nil && err != nil
 	t.server.Loads.End(t.server.Now(), spec.ID, loadOutcome(err, cancelled))
 	crashed := err != nil && !cancelled && mayHaveCrashed(err)
 	t.crashed = crashed
-	t.endClaim(ctx, err == nil, crashed)
+	t.endClaim(ctx, complete, crashed)
 	if cancelled {
 		return
 	}
@@ -205,7 +208,7 @@
 		Endpoint:         spec.ID,
 		Release:          t.action.Release,
 		Team:             t.request.Key.Team,
-		Run:              t.runEnd(err == nil, crashed),
+		Run:              t.runEnd(complete, crashed),
 		Outcome:          roll.Outcome{Failed: crashed, FirstToken: t.firstToken},
 		Latency:          t.firstToken,
 		ExpectedLatency:  t.action.Expected,
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -82,6 +82,19 @@
 		}
 	})
 
+	// Guards against an error of a service that fails before it runs a request, which
+	// cleared it of the crashes of others.
+	It("does not count as complete if its service answers with an error", func() {
+		for status, complete := range map[int]bool{200: true, 404: true, 500: false} {
+			h := newHarness()
+			h.engine.calls = append(h.engine.calls, func(context.Context, engine.Attempt) (engine.Answer, error) {
+				return engine.Answer{Status: status}, nil
+			})
+			h.server.Run(ctx, bookingRequest(longDeadline), &fakeCaller{})
+			Expect(h.runEnds()).To(ConsistOf(HaveField("Complete", complete)), "status %d", status)
+		}
+	})
+
 	DescribeTable("is resumed after a failed attempt without duplicate or missing tokens, and is billed once",
 		func(received int, failure error, crashes int) {
 			h := newHarness()
