Count a crash against withdrawn runs on the project's own interface too

What callers would see: a body whose caller leaves, or whose time is over, before it crashes its endpoint is sent to the next one, without end.

A cancelled attempt ended its claim and told the control thread nothing.

Change: flow.Cancel says whether another attempt answers the request. Otherwise the attempt is reported as withdrawn, and the control thread counts it once any router has found that its endpoint has ended: by another run, or by a report with another boot.

Evidence: a spec of serve that failed (nothing was reported), and one of ctrl that fails with the run not kept.

--- a/internal/ctrl/control.go
+++ b/internal/ctrl/control.go
@@ -52,13 +52,14 @@
 	rollouts         map[ident.ModelID]RolloutObject
 	pendingWrites    map[plat.Key]bool // writes without an answer yet
 
-	evidence   *roll.Evidence
-	estimates  *casc.Estimates
-	relayEpoch uint64 // incremented when the set of routers whose counters are forwarded changes
-	crashes    *poison.CrashTable
-	parts      *poison.PartTable
-	claims     *poison.Owner
-	stewards   map[ident.ZoneID]*steward
+	evidence      *roll.Evidence
+	estimates     *casc.Estimates
+	relayEpoch    uint64 // incremented when the set of routers whose counters are forwarded changes
+	crashes       *poison.CrashTable
+	parts         *poison.PartTable
+	withdrawnRuns *poison.WithdrawnRuns // of this router
+	claims        *poison.Owner
+	stewards      map[ident.ZoneID]*steward
 
 	lastRead     time.Time
 	lastList     time.Time
@@ -96,6 +97,7 @@
 		estimates:     casc.NewEstimates(),
 		crashes:       crashes,
 		parts:         poison.NewPartTable(settings.CrashLifetime),
+		withdrawnRuns: poison.NewWithdrawnRuns(),
 		claims:        poison.NewOwner(crashes, settings.ClaimLifetime),
 		stewards:      map[ident.ZoneID]*steward{},
 		viewDirty:     true,
@@ -132,6 +134,8 @@
 		c.loadPollFailed(now, e.Endpoint)
 	case AttemptEnded:
 		return c.recordAttempt(now, e)
+	case RunWithdrawn:
+		return c.recordWithdrawnRun(now, e.Run)
 	case AnswerRated:
 		c.recordRating(now, e)
 	case SessionExposed:
--- a/internal/ctrl/endpoint.go
+++ b/internal/ctrl/endpoint.go
@@ -59,8 +59,9 @@
 	if !ok {
 		return nil
 	}
+	var actions []Action
 	if !e.reportedAt.IsZero() && e.report.Boot != l.Load.Boot {
-		c.recordCrash(now, l.Endpoint, e.report.Boot)
+		actions = c.recordCrash(now, l.Endpoint, e.report.Boot)
 	}
 	e.report = l.Load.Report
 	e.reportedAt = now
@@ -68,7 +69,7 @@
 	e.reportsLeaving = l.Load.Leaving
 	e.matchesSpec = servesDeclared(e.spec, l.Load.Release, l.Load.Service)
 	e.phase.Step(now, permit.ReportReceived{Requested: l.RequestedAt, Report: l.Load.Report})
-	return nil
+	return actions
 }
 
 // servesDeclared reports whether an endpoint reports the release or service that
@@ -82,10 +83,36 @@
 
 // recordCrash records that an endpoint process has ended. It names no suspected
 // request bodies: only the routers that sent them know them.
-func (c *Control) recordCrash(now time.Time, id ident.EndpointID, boot string) {
+func (c *Control) recordCrash(now time.Time, id ident.EndpointID, boot string) []Action {
 	crash := poison.Incarnation{Endpoint: id, BootID: boot}
 	c.crashes.Record(now, crash, nil)
 	c.parts.Confirm(func(i poison.Incarnation) bool { return i == crash })
+	return c.settleWithdrawnRuns(now, crash)
+}
+
+// recordWithdrawnRun keeps a run that nobody waits for, in case that its endpoint crashes.
+func (c *Control) recordWithdrawnRun(now time.Time, r poison.RunEnd) []Action {
+	c.withdrawnRuns.Add(now, r)
+	return c.settleWithdrawnRuns(now, r.Incarnation)
+}
+
+// settleWithdrawnRuns counts the runs that were withdrawn from an endpoint against their
+// bodies if it has crashed. A crash that they may have caused is propagated immediately.
+func (c *Control) settleWithdrawnRuns(now time.Time, i poison.Incarnation) []Action {
+	at, crashed := c.crashes.CrashTime(i)
+	if !crashed {
+		return nil
+	}
+	broken := c.withdrawnRuns.TakeCrashed(now, i, at)
+	for _, r := range broken {
+		c.crashes.Record(now, i, []ident.Fingerprint{r.Fingerprint})
+		c.parts.Observe(now, r)
+	}
+	if len(broken) == 0 {
+		return nil
+	}
+	c.viewDirty = true
+	return c.scheduleUrgent()
 }
 
 func (c *Control) loadPollFailed(now time.Time, id ident.EndpointID) {
@@ -114,6 +141,9 @@
 	if a.Run.Broke || a.Run.Complete {
 		c.parts.Observe(now, a.Run)
 	}
+	if a.Run.Complete {
+		c.withdrawnRuns.Answered(a.Run)
+	}
 	if !a.ConnectionBroken {
 		return nil
 	}
@@ -156,5 +186,5 @@
 		return nil
 	}
 	c.viewDirty = true
-	return c.scheduleUrgent()
+	return append(c.settleWithdrawnRuns(now, *ended.Crashed), c.scheduleUrgent()...)
 }
--- a/internal/ctrl/event.go
+++ b/internal/ctrl/event.go
@@ -85,6 +85,10 @@
 	IsEvidence       bool          // whether it counts for the roll-out
 }
 
+// RunWithdrawn reports that a run is no longer waited for, though its request has no
+// answer.
+type RunWithdrawn struct{ Run poison.RunEnd }
+
 // AnswerRated is a quality rating of an answer.
 type AnswerRated struct {
 	Release   ident.Release
@@ -164,6 +168,7 @@
 func (HeartbeatFailed) event()    {}
 func (LoadReported) event()       {}
 func (LoadPollFailed) event()     {}
+func (RunWithdrawn) event()       {}
 func (AttemptEnded) event()       {}
 func (AnswerRated) event()        {}
 func (SessionExposed) event()     {}
--- a/internal/ctrl/heartbeat.go
+++ b/internal/ctrl/heartbeat.go
@@ -146,6 +146,9 @@
 	c.applyColdMarks(now, b.ColdMarks)
 	c.mergePeerAges(now, b.PeerAges)
 	actions := c.fetchIfNewer(now, b.Router, b.Generation)
+	for _, crash := range b.CrashDelta.Crashes {
+		actions = append(actions, c.settleWithdrawnRuns(now, crash.Incarnation)...)
+	}
 	for _, w := range b.Withdrawals {
 		actions = append(actions, c.withdraw(now, w)...)
 	}
--- a/internal/ctrl/steward_test.go
+++ b/internal/ctrl/steward_test.go
@@ -158,6 +158,40 @@
 	)
 })
 
+var _ = Describe("A request body that crashes endpoints once its run was withdrawn", func() {
+	// Guards against runs whose caller has left, so that no router sees them break.
+	It("is refused by every router after the second crash, however that becomes known", Label("fault=poison", "fault=endpoint-crashed", "step=choose"), func() {
+		const body, neighbour = ident.Fingerprint(7), ident.Fingerprint(99)
+		cl := newCluster("a1", "a2", "b1", "b2")
+		cl.advance(3 * time.Second)
+		for i, found := range []func(poison.Incarnation){
+			func(crash poison.Incarnation) {
+				cl.handle(cl.node("b1"), ctrl.EndClaim{Ended: poison.ClaimEnd{Fingerprint: neighbour, Attempt: "n", Crashed: &crash}})
+			},
+			func(crash poison.Incarnation) {
+				for _, boot := range []string{crash.BootID, "2"} {
+					cl.handle(cl.node("a2"), ctrl.LoadReported{
+						Endpoint: crash.Endpoint, RequestedAt: cl.now, Load: engine.Load{Report: fleet.Report{Boot: boot}},
+					})
+				}
+			},
+		} {
+			crash := poison.Incarnation{Endpoint: ident.EndpointID(fmt.Sprint("e", i+1)), BootID: "1"}
+			cl.handle(cl.node("a2"), ctrl.RunWithdrawn{Run: poison.RunEnd{
+				Subject: poison.Subject{Fingerprint: body, Service: "condor"}, Incarnation: crash, Started: cl.now.Add(-200 * time.Millisecond), Withdrawn: true,
+			}})
+			cl.advance(100 * time.Millisecond)
+			found(crash)
+			cl.advance(500 * time.Millisecond)
+		}
+		for _, n := range cl.nodes {
+			Expect(n.view.Suspicions).To(HaveKeyWithValue(body, fleet.SuspicionRefused), "router %s", n.id)
+			Expect(n.view.Suspicions).To(HaveKeyWithValue(neighbour, fleet.SuspicionIsolated), "router %s", n.id)
+		}
+		Expect(cl.violations).To(BeEmpty())
+	})
+})
+
 var _ = Describe("A part of prompts that crashes endpoints", func() {
 	// Guards against bodies that share a message which crashes endpoints, each of which
 	// is refused by itself only after it has crashed two.
--- a/internal/flow/action.go
+++ b/internal/flow/action.go
@@ -63,7 +63,10 @@
 }
 
 // Cancel cancels an attempt. AttemptEnded still follows.
-type Cancel struct{ Attempt ident.AttemptID }
+type Cancel struct {
+	Attempt    ident.AttemptID
+	Superseded bool // another attempt answers the request
+}
 
 // OpenResponse starts the response to the caller. It is not answered.
 type OpenResponse struct{ Meta Meta }
--- a/internal/flow/attempt.go
+++ b/internal/flow/attempt.go
@@ -173,7 +173,7 @@
 		if m.assembler != nil {
 			m.assembler.Close(id)
 		}
-		actions = append(actions, Cancel{Attempt: id})
+		actions = append(actions, Cancel{Attempt: id, Superseded: keep != ""})
 	}
 	return actions
 }
--- a/internal/poison/crash_table.go
+++ b/internal/poison/crash_table.go
@@ -190,9 +190,9 @@
 	return at
 }
 
-// crashTime returns the time at which an incarnation crashed, or false if no
+// CrashTime returns the time at which an incarnation crashed, or false if no
 // crash of it is known.
-func (t *CrashTable) crashTime(i Incarnation) (time.Time, bool) {
+func (t *CrashTable) CrashTime(i Incarnation) (time.Time, bool) {
 	c, known := t.crashes[i]
 	if !known {
 		return time.Time{}, false
--- a/internal/poison/owner.go
+++ b/internal/poison/owner.go
@@ -130,7 +130,7 @@
 // so that it cannot have caused the crash.
 func (o *Owner) startedAfterCrash(e ClaimEnd) bool {
 	r, open := o.open[e.Fingerprint][e.Attempt]
-	crashedAt, known := o.table.crashTime(*e.Crashed)
+	crashedAt, known := o.table.CrashTime(*e.Crashed)
 	return open && known && r.started.After(crashedAt)
 }
 
--- a/internal/poison/run_table.go
+++ b/internal/poison/run_table.go
@@ -72,7 +72,7 @@
 		t.crashes.Record(now, r.Incarnation, []ident.Fingerprint{r.Fingerprint})
 		return
 	}
-	if at, crashed := t.crashes.crashTime(r.Incarnation); crashed && r.Started.After(at) {
+	if at, crashed := t.crashes.CrashTime(r.Incarnation); crashed && r.Started.After(at) {
 		t.crashes.clearIncarnation(now, r.Incarnation)
 	}
 	if r.Complete {
@@ -85,7 +85,7 @@
 
 // CrashTime returns when an incarnation crashed, as far as this router knows, or false if
 // it does not count as crashed.
-func (t *RunTable) CrashTime(i Incarnation) (time.Time, bool) { return t.crashes.crashTime(i) }
+func (t *RunTable) CrashTime(i Incarnation) (time.Time, bool) { return t.crashes.CrashTime(i) }
 
 // CrashCount returns the number of endpoints that count as crashed by a request: those
 // whose crash no other cause explains.
--- a/internal/serve/action.go
+++ b/internal/serve/action.go
@@ -35,7 +35,7 @@
 	case flow.Dispatch:
 		r.dispatch(ctx, a)
 	case flow.Cancel:
-		r.cancel(a.Attempt)
+		r.cancel(a)
 	case flow.OpenResponse:
 		return r.forward(func() error { return r.sink.Open(a.Meta) })
 	case flow.WriteText:
--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -16,7 +17,6 @@
 	"github.com/marigoldscale/marigoldscale/internal/poison"
 	"github.com/marigoldscale/marigoldscale/internal/roll"
 	"github.com/marigoldscale/marigoldscale/internal/route"
-	"github.com/marigoldscale/marigoldscale/pkg/ident"
 )
 
 const (
@@ -45,7 +45,8 @@
 	started    time.Time
 	firstToken time.Duration // time to the first token, 0 until it arrives
 	final      bool
-	crashed    bool // the endpoint may have crashed during the attempt
+	crashed    bool        // the endpoint may have crashed during the attempt
+	superseded atomic.Bool // another attempt answers the request
 	deadline   time.Time
 }
 
@@ -72,8 +73,9 @@
 	}()
 }
 
-func (r *run) cancel(attempt ident.AttemptID) {
-	if t, ok := r.attempts[attempt]; ok {
+func (r *run) cancel(a flow.Cancel) {
+	if t, ok := r.attempts[a.Attempt]; ok {
+		t.superseded.Store(a.Superseded)
 		t.cancel()
 	}
 }
@@ -202,6 +204,11 @@
 	t.crashed = crashed
 	t.endClaim(ctx, complete, crashed)
 	if cancelled {
+		if !t.superseded.Load() {
+			end := t.runEnd(false, false)
+			end.Withdrawn = true
+			t.server.SendEvent(ctrl.RunWithdrawn{Run: end})
+		}
 		return
 	}
 	t.server.SendEvent(ctrl.AttemptEnded{
--- a/internal/serve/harness_test.go
+++ b/internal/serve/harness_test.go
@@ -106,6 +106,19 @@
 	return runs
 }
 
+// withdrawnRuns returns the runs that were reported as withdrawn.
+func (h *harness) withdrawnRuns() []poison.RunEnd {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	var runs []poison.RunEnd
+	for _, e := range h.events {
+		if w, ok := e.(ctrl.RunWithdrawn); ok {
+			runs = append(runs, w.Run)
+		}
+	}
+	return runs
+}
+
 // publish publishes a changed view. Before the change it has two warm endpoints of
 // each release and of a service that is not a model.
 func (h *harness) publish(change func(*fleet.Snapshot)) {
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -95,6 +95,24 @@
 		}
 	})
 
+	It("tells the control thread of a run whose caller has left", func() {
+		h := newHarness()
+		started := make(chan struct{})
+		h.engine.streams = append(h.engine.streams, func(ctx context.Context, _ engine.Attempt, _ func(engine.Frame) error) error {
+			close(started)
+			<-ctx.Done()
+			return ctx.Err()
+		})
+		left, leave := context.WithCancel(ctx)
+		go func() {
+			<-started
+			leave()
+		}()
+		h.server.Run(left, chatRequest(longDeadline), &fakeCaller{})
+		Eventually(h.withdrawnRuns).Should(ConsistOf(And(HaveField("Withdrawn", true), HaveField("Incarnation.Endpoint", Not(BeEmpty())))))
+		Expect(h.runEnds()).To(BeEmpty())
+	})
+
 	DescribeTable("is resumed after a failed attempt without duplicate or missing tokens, and is billed once",
 		func(received int, failure error, crashes int) {
 			h := newHarness()
