--- a/internal/poison/crash_table.go
+++ b/internal/poison/crash_table.go
@@ -115,15 +115,18 @@
 // Exonerate clears all suspects of a crash whose cause is known.
 func (t *CrashTable) Exonerate(now time.Time, i Incarnation) { t.clearIncarnation(now, i) }
 
-// clearIncarnation clears all suspects of a crash that was none.
-func (t *CrashTable) clearIncarnation(now time.Time, i Incarnation) {
+// clearIncarnation clears all suspects of a crash that was none. It reports whether the
+// table changed.
+func (t *CrashTable) clearIncarnation(now time.Time, i Incarnation) bool {
 	x, known := t.crashes[i]
 	if !known {
-		return
+		return false
 	}
+	changed := false
 	for body := range x.suspects {
-		t.Clear(now, body, []Incarnation{i})
+		changed = t.Clear(now, body, []Incarnation{i}) || changed
 	}
+	return changed
 }
 
 // Suspicion returns the level of suspicion of a body.
--- a/internal/poison/run_table.go
+++ b/internal/poison/run_table.go
@@ -63,21 +63,23 @@
 	return &RunTable{crashes: NewCrashTable(lifetime)}
 }
 
-// Observe records the end of a run. One that was withdrawn tells nothing.
-func (t *RunTable) Observe(now time.Time, r RunEnd) {
+// Observe records the end of a run. One that was withdrawn tells nothing. It reports
+// whether the end clears any request of a crash.
+func (t *RunTable) Observe(now time.Time, r RunEnd) (cleared bool) {
 	if r.Withdrawn {
-		return
+		return false
 	}
 	if r.Broke {
 		t.crashes.Record(now, r.Incarnation, []ident.Fingerprint{r.Fingerprint})
-		return
+		return false
 	}
 	if at, crashed := t.crashes.CrashTime(r.Incarnation); crashed && r.Started.After(at) {
-		t.crashes.clearIncarnation(now, r.Incarnation)
+		cleared = t.crashes.clearIncarnation(now, r.Incarnation)
 	}
 	if r.Complete {
-		t.crashes.Clear(now, r.Fingerprint, t.crashes.UnclearedCrashes(now, r.Fingerprint))
+		cleared = t.crashes.Clear(now, r.Fingerprint, t.crashes.UnclearedCrashes(now, r.Fingerprint)) || cleared
 	}
+	return cleared
 }
 
 // RecordEnd records that an incarnation has ended, whatever it ran.
--- a/internal/syncer/crashes.go
+++ b/internal/syncer/crashes.go
@@ -30,9 +30,9 @@
 }
 
 // observe records the end of a run. It returns the runs that count as broken by it: the
-// run itself, if it broke, and those that were withdrawn from the same endpoint before.
-func (r *crashRecord) observe(now time.Time, end poison.RunEnd) []poison.RunEnd {
-	var broken []poison.RunEnd
+// run itself, if it broke, and those that were withdrawn from the same endpoint before. It
+// reports whether the end clears any request of a crash.
+func (r *crashRecord) observe(now time.Time, end poison.RunEnd) (broken []poison.RunEnd, cleared bool) {
 	switch {
 	case end.Withdrawn:
 		r.withdrawn.Add(now, end)
@@ -41,14 +41,14 @@
 		r.count(now, end)
 	default:
 		r.withdrawn.Answered(end)
-		r.count(now, end)
+		cleared = r.count(now, end)
 	}
-	return append(broken, r.settle(now, end.Incarnation)...)
+	return append(broken, r.settle(now, end.Incarnation)...), cleared
 }
 
-func (r *crashRecord) count(now time.Time, end poison.RunEnd) {
-	r.runs.Observe(now, end)
+func (r *crashRecord) count(now time.Time, end poison.RunEnd) (cleared bool) {
 	r.parts.Observe(now, end)
+	return r.runs.Observe(now, end)
 }
 
 // settle counts the runs that were withdrawn from an endpoint against their requests if
@@ -93,8 +93,12 @@
 // ObserveRun records how a run of a request ended.
 func (c *Controller) ObserveRun(now time.Time, r poison.RunEnd) {
 	c.lock.Lock()
-	broken := c.crashes.observe(now, r)
+	broken, cleared := c.crashes.observe(now, r)
 	c.lock.Unlock()
+	if cleared {
+		c.log.Info("crashes cleared", zap.Uint64("fingerprint", uint64(r.Fingerprint)), zap.String("endpoint", string(r.Incarnation.Endpoint)),
+			zap.String("boot", r.Incarnation.BootID), zap.Bool("complete", r.Complete))
+	}
 	c.reportBroken(now, broken)
 }
 
