List a run given up at an endpoint that was taken for crashed before

The table of crashes keeps the time of a crash that turned out to be none, so that later runs look as if they had begun after the end of their endpoint. The test fails each time.

--- a/internal/poison/withdrawn_runs_test.go
+++ b/internal/poison/withdrawn_runs_test.go
@@ -93,3 +93,18 @@
 	g.Expect(crashed).To(BeTrue())
 	g.Expect(at).To(Equal(runAt(1)))
 }
+
+// Guards against an endpoint that was once taken for crashed, so that the runs withdrawn
+// from it later count for nothing when it does crash.
+func TestWithdrawnRunCountsThoughItsEndpointWasTakenForCrashedBefore(t *testing.T) {
+	g := NewWithT(t)
+	table, runs := poison.NewRunTable(time.Minute), poison.NewWithdrawnRuns()
+	table.Observe(runAt(1), runEnd(8, 1, 0.5, true))
+	table.Observe(runAt(3), runEnd(9, 1, 2, false)) // it lives
+	withdrawn := withdrawnRun(1, 10)
+	runs.Add(runAt(10.1), withdrawn)
+	table.RecordEnd(runAt(10.2), withdrawn.Incarnation)
+	at, crashed := table.CrashTime(withdrawn.Incarnation)
+	g.Expect(crashed).To(BeTrue())
+	g.Expect(runs.TakeCrashed(runAt(10.2), withdrawn.Incarnation, at)).To(HaveLen(1))
+}
