--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -1,15 +1,11 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 )
 
@@ -17,7 +13,6 @@
 const (
 	configApply = 2 * time.Second
 	contact     = 3 * time.Second
-	grace       = 8 * time.Second
 	// restartDelay is the time until a process that has ended is started again.
 	restartDelay = time.Second
 )
@@ -163,85 +158,6 @@
 	return broken > 0, nil
 }
 
-// lateRequest: a router is stopped. Consumers whose connections it took before send their
-// requests a little more than 3 s after the SIGTERM, within the time that the
-// configuration gives them. It must not pass them on and then cut them.
-func lateRequest(r *run) (bool, error) {
-	if err := r.startStore(); err != nil {
-		return false, err
-	}
-	routes := []route{{name: "letter", host: "pluma.example", prefix: "/letter/", kind: "streaming", service: "pluma", resume: true, attempts: 3, timeout: 15 * time.Second, target: 2 * time.Second}}
-	r.store.configure(3, routes, []string{"pluma"}, []tenant{{"alfa", []string{"key-alfa-1"}}})
-	for i := range 3 {
-		if err := r.startServer(fmt.Sprint("pluma", i), "pluma", fmt.Sprintf("norte-%c", 'a'+i), stream(12, 400*time.Millisecond)); err != nil {
-			return false, err
-		}
-	}
-	if err := r.startRouters(3); err != nil {
-		return false, err
-	}
-	time.Sleep(4 * time.Second) // in touch
-	p := r.routers[0]
-	stop := time.Now()
-	if r.trouble { // roll_term: x = 1 at a time
-		_ = p.command.Process.Signal(syscall.SIGTERM)
-		r.note("%s gets SIGTERM", p.name)
-		go func() {
-			select {
-			case <-p.exited:
-			case <-time.After(time.Until(stop.Add(grace))):
-				p.kill()
-			}
-			r.note("%s has ended", p.name)
-		}()
-	}
-	lost := 0
-	var lock sync.Mutex
-	var group sync.WaitGroup
-	for n := range 6 {
-		group.Go(func() {
-			// The platform takes the router out after two misses, a second apart.
-			time.Sleep(time.Until(stop.Add(500*time.Millisecond + time.Duration(n)*70*time.Millisecond)))
-			conn, err := net.Dial("tcp4", p.front)
-			if err != nil {
-				r.note("connection %d is refused: %v", n, err)
-				return
-			}
-			defer conn.Close()
-			r.note("connection %d is open", n)
-			time.Sleep(time.Until(stop.Add(3150*time.Millisecond + time.Duration(n)*20*time.Millisecond)))
-			a := ask{id: newID("q"), method: http.MethodPost, host: "pluma.example", path: "/letter/7", key: "key-alfa-1", body: "a letter", budget: 12 * time.Second, prefix: fmt.Sprintf("a0:800,b%d:200,e%04x:90", n, n)}
-			q, err := a.request(p.front)
-			if err != nil {
-				return
-			}
-			_ = conn.SetDeadline(time.Now().Add(a.budget))
-			r.note("request %s is sent, %.3f s after the stop began", a.id, time.Since(stop).Seconds())
-			if err := q.Write(conn); err != nil {
-				r.note("request %s is not taken: %v", a.id, err)
-				return
-			}
-			answer, err := http.ReadResponse(bufio.NewReader(conn), q)
-			status, whole := 0, false
-			if err == nil {
-				status = answer.StatusCode
-				_, err = io.Copy(io.Discard, answer.Body)
-				whole = err == nil
-			}
-			r.note("request %s ends %.3f s after the stop began: status %d, whole %v, %v", a.id, time.Since(stop).Seconds(), status, whole, err)
-			if runs := r.log.of(a.id); !whole && len(runs) > 0 {
-				r.note("request %s was passed on to %s, and its connection ended without a complete answer", a.id, runs[0].server)
-				lock.Lock()
-				lost++
-				lock.Unlock()
-			}
-		})
-	}
-	group.Wait()
-	r.note("requests passed on and cut by the stop: %d", lost)
-	return lost > 0, nil
-}
-
 // knownPart: a part of prompts crashes servers, and all routers know. All of them are
 // killed at once and start again. Requests with the part still come, one each 6 s.
 func knownPart(r *run) (bool, error) {
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -27,7 +27,6 @@
 var cases = map[string]func(*run) (broken bool, err error){
 	"revoked-keys": revokedKeys,
 	"spoiled-head": spoiledHead,
-	"late-request": lateRequest,
 	"known-part":   knownPart,
 }
 
