--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -279,3 +279,102 @@
 	r.note("requests with the part that reached servers later than %v after the fifth crash: %d, three are allowed", contact, late)
 	return late > 3, nil
 }
+
+// givenUp: a request crashes each server that runs it, a moment after its router has given
+// the run up. Before that, half of the connections of the consumers' router are reset once:
+// the servers live on.
+func givenUp(r *run) (bool, error) {
+	if err := r.startStore(); err != nil {
+		return false, err
+	}
+	routes := []route{{name: "letter", host: "pluma.example", prefix: "/letter/", kind: "streaming", service: "pluma", resume: true, attempts: 3, timeout: 10 * time.Second, target: time.Second}}
+	r.store.configure(3, routes, []string{"pluma"}, []tenant{{"alfa", []string{"key-alfa-1"}}})
+	const (
+		poisonBody = "the letter that crashes servers"
+		crashAfter = 600 * time.Millisecond // from the beginning of the run
+		backAfter  = 7 * time.Second
+		pause      = 5 * time.Second // between two requests that crash servers
+	)
+	sound := stream(24, 50*time.Millisecond)
+	var lock sync.Mutex
+	var crashes []time.Time
+	for i := range 18 {
+		if err := r.startServer(fmt.Sprint("pluma", i), "pluma", fmt.Sprintf("norte-%c", 'a'+i%3), func(s *server, w http.ResponseWriter, q *http.Request, e *execution) {
+			if !strings.HasPrefix(e.id, "fatal") {
+				sound(s, w, q, e)
+				return
+			}
+			time.Sleep(crashAfter)
+			if s.crash() {
+				lock.Lock()
+				crashes = append(crashes, time.Now())
+				r.note("server %s crashes, the crash %d", e.server, len(crashes))
+				lock.Unlock()
+				time.AfterFunc(backAfter, func() { _ = s.start() })
+			}
+		}); err != nil {
+			return false, err
+		}
+	}
+	if err := r.startRouters(3); err != nil {
+		return false, err
+	}
+	stop := make(chan struct{})
+	var group sync.WaitGroup
+	group.Go(func() { // all consumers are in the zone of the first router
+		for n := 0; ; n++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(10 * time.Millisecond):
+			}
+			group.Go(func() {
+				a := ask{id: newID("sound"), method: http.MethodPost, host: "pluma.example", path: fmt.Sprint("/letter/", n), key: "key-alfa-1", body: fmt.Sprint("a letter ", n), budget: 5 * time.Second, prefix: fmt.Sprintf("e%06x:90", n)}
+				r.send(r.routers[0], a)
+			})
+		}
+	})
+	time.Sleep(8 * time.Second)
+	if r.trouble { // reset_conns: one machine, x = 0.5
+		busy, hit := 0, 0
+		for _, s := range r.servers {
+			n := s.resetHalf()
+			busy += n
+			if n > 0 {
+				hit++
+			}
+		}
+		r.note("half of the connections of %s are reset, %d with a request in progress, at %d servers", r.routers[0].name, busy, hit)
+	}
+	time.Sleep(6 * time.Second)
+	type fatal struct {
+		id   string
+		sent time.Time
+	}
+	var fatals []fatal
+	for n := 0; n < 6; n++ {
+		next := time.Now().Add(pause)
+		a := ask{id: newID("fatal"), method: http.MethodPost, host: "pluma.example", path: "/letter/fatal", key: "key-alfa-1", body: poisonBody, budget: 8 * time.Second, prefix: "facade:90"}
+		fatals = append(fatals, fatal{a.id, time.Now()})
+		r.send(r.routers[0], a)
+		time.Sleep(time.Until(next))
+	}
+	close(stop)
+	group.Wait()
+	lock.Lock()
+	defer lock.Unlock()
+	if len(crashes) < 3 {
+		return false, fmt.Errorf("only %d servers crashed", len(crashes))
+	}
+	late := 0
+	for _, x := range fatals {
+		for _, e := range r.log.of(x.id) {
+			if e.at.Sub(crashes[2]) > contact {
+				late++
+				r.note("request %s reached %s %.1f s after the third crash", x.id, e.server, e.at.Sub(crashes[2]).Seconds())
+			}
+		}
+	}
+	r.note("arrivals of the request later than %v after it had crashed the third server: %d, three are allowed; crashes: %d", contact, late, len(crashes))
+	return late > 3, nil
+}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -28,6 +28,7 @@
 	"revoked-keys": revokedKeys,
 	"spoiled-head": spoiledHead,
 	"known-part":   knownPart,
+	"given-up":     givenUp,
 }
 
 // run is one run of a case.
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -53,6 +53,7 @@
 	answer        behaviour
 
 	lock    sync.Mutex
+	conns   map[net.Conn]bool // to routers, with whether a request is in progress
 	life    int
 	id      string
 	born    int64
@@ -78,7 +79,7 @@
 	s.life++
 	s.id, s.born = fmt.Sprintf("i-%s-%d", s.name, s.life), time.Now().UnixMilli()
 	id := s.id
-	s.http = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { s.serve(w, q, id) })}
+	s.http = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { s.serve(w, q, id) }), ConnState: s.stateChanged}
 	go func(h *http.Server) { _ = h.Serve(l) }(s.http)
 	s.run.store.set("servers", id, map[string]any{
 		"service": s.service, "address": l.Addr().String(), "zone": s.zone, "version": "v1", "slots": 16,
@@ -88,19 +89,58 @@
 	return nil
 }
 
+// stateChanged keeps track of the connections.
+func (s *server) stateChanged(c net.Conn, state http.ConnState) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if s.conns == nil {
+		s.conns = map[net.Conn]bool{}
+	}
+	switch state {
+	case http.StateClosed, http.StateHijacked:
+		delete(s.conns, c)
+	default:
+		s.conns[c] = state == http.StateActive
+	}
+}
+
+// resetHalf resets every second connection, and returns how many of those carried a request.
+func (s *server) resetHalf() int {
+	s.lock.Lock()
+	var chosen []net.Conn
+	busy, n := 0, 0
+	for c, active := range s.conns {
+		if n++; n%2 == 0 {
+			continue
+		}
+		chosen = append(chosen, c)
+		if active {
+			busy++
+		}
+	}
+	s.lock.Unlock()
+	for _, c := range chosen {
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+	return busy
+}
+
 // entryLife is how long the entry of a server that has crashed stays: three heartbeats.
 const entryLife = 3 * 1200 * time.Millisecond
 
 // crash ends the lifetime. The connections break, and the entry lapses later.
 func (s *server) crash() bool {
 	s.lock.Lock()
-	defer s.lock.Unlock()
-	if s.http == nil {
+	h, id := s.http, s.id
+	s.http = nil
+	s.lock.Unlock()
+	if h == nil {
 		return false
 	}
-	_ = s.http.Close()
-	s.http = nil
-	id := s.id
+	_ = h.Close()
 	time.AfterFunc(entryLife, func() { s.run.store.remove("servers", id) })
 	return true
 }
