Hear what endpoints say to attempts that were given up

A server that has turned a request away with 503 and Retry-After got up to 35 more requests from that router within the time.

Cause: a router closed the connection of an attempt that it gave up, or whose caller had left. An endpoint that was silent answers it once it goes on, and what it said was lost.

Change: such a connection is closed for writing only, which tells the endpoint as much, and read for up to 2 s. What the head of a late response says of the endpoint counts. The body of the request no longer stays in memory until the response ends. An attempt that is cancelled while it connects sends nothing.

--- a/internal/proxy/event.go
+++ b/internal/proxy/event.go
@@ -9,7 +9,7 @@
 
 // Event is an input of the state machine: Start, EndpointSelected, NoEndpoint,
 // FoundFatal, HeadReceived, EventReceived, StreamEnded, ResponseReceived, AttemptFailed,
-// CallerGone or TimerFired.
+// LateHead, CallerGone or TimerFired.
 type Event interface{ event() }
 
 // Start starts the request.
@@ -78,6 +78,13 @@
 	Rejected bool
 }
 
+// LateHead carries the head of a response to an attempt that was cancelled before it came.
+// The state machine ignores it.
+type LateHead struct {
+	Attempt Attempt
+	Head    ResponseHead
+}
+
 // CallerGone reports that the caller closed the connection.
 type CallerGone struct{}
 
@@ -93,5 +100,6 @@
 func (StreamEnded) event()      {}
 func (ResponseReceived) event() {}
 func (AttemptFailed) event()    {}
+func (LateHead) event()         {}
 func (CallerGone) event()       {}
 func (TimerFired) event()       {}
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -141,7 +141,7 @@
 		case proxy.Abort:
 			c.abort(x.Reason)
 		case proxy.Cancel:
-			c.exchanges[x.Attempt].cancel()
+			c.exchanges[x.Attempt].withdraw()
 		case proxy.Escalate:
 			c.log("larger model asked", zap.Int("attempt", int(x.Attempt)), zap.Int("confidence", x.Factors.Confidence),
 				zap.Duration("next", x.Factors.NextLatency), zap.Duration("work", x.Factors.NextServiceTime))
@@ -183,7 +183,6 @@
 	c.body.retain()
 	go func() {
 		defer cancel()
-		defer c.body.release()
 		x.run(ctx, c.server.pool, c.server.codec, c.sendEvent)
 		select {
 		case <-c.done: // nobody takes the response
@@ -225,7 +224,10 @@
 	case proxy.ResponseReceived:
 		c.recordContact(x.Attempt, true, nil)
 		c.recordAnswer(x.Attempt)
-		c.recordTurnedAway(x)
+		c.recordTurnedAway(x.Attempt, x.Head)
+	case proxy.LateHead:
+		c.recordContact(x.Attempt, true, nil)
+		c.recordTurnedAway(x.Attempt, x.Head)
 	case proxy.StreamEnded:
 		if p := c.placements[x.Attempt]; x.Attempt == c.streamAttempt && !isRouter(p.endpoint) { // otherwise part of the response came from another attempt
 			c.server.estimator.RecordGeneration(p.model, c.request.MaxOutputTokens, c.server.clock().Sub(p.answered))
@@ -243,13 +245,13 @@
 	}
 }
 
-// recordTurnedAway records what an endpoint says of itself with a whole answer, and logs an
-// answer that says that the attempt did not run.
-func (c *call) recordTurnedAway(x proxy.ResponseReceived) {
-	c.recordNotices(x.Attempt, x.Head)
-	if x.Head.NotRun || x.Head.WrongEndpoint {
-		c.warn("attempt turned away", zap.Int("attempt", int(x.Attempt)), zap.Int("status", x.Head.Status),
-			zap.String("endpoint", string(c.placements[x.Attempt].endpoint)), zap.Duration("after", x.Head.RetryAfter))
+// recordTurnedAway records what an endpoint says of itself in an answer, and logs an answer
+// that says that the attempt did not run.
+func (c *call) recordTurnedAway(n proxy.Attempt, h proxy.ResponseHead) {
+	c.recordNotices(n, h)
+	if h.NotRun || h.WrongEndpoint {
+		c.warn("attempt turned away", zap.Int("attempt", int(n)), zap.Int("status", h.Status),
+			zap.String("endpoint", string(c.placements[n].endpoint)), zap.Duration("after", h.RetryAfter))
 	}
 }
 
@@ -343,13 +345,16 @@
 	var complete bool
 	switch e := e.(type) {
 	case proxy.ResponseReceived:
-		c.recordTurnedAway(e)
+		c.recordTurnedAway(e.Attempt, e.Head)
 		x, complete = c.exchanges[e.Attempt], !e.Head.NotRun && !e.Head.WrongEndpoint && e.Head.Status < http.StatusInternalServerError
 	case proxy.AttemptFailed:
 		if !e.Sent {
 			return
 		}
 		x = c.exchanges[e.Attempt]
+	case proxy.LateHead:
+		c.recordTurnedAway(e.Attempt, e.Head)
+		return
 	default:
 		return
 	}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -7,9 +7,11 @@
 	"fmt"
 	"io"
 	"mime"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
+	"sync"
 	"syscall"
 	"time"
 
@@ -30,7 +32,10 @@
 	// bodyWriteTimeout is how long an endpoint that has responded early may take
 	// to read the rest of the request body.
 	bodyWriteTimeout = time.Second
-	eventIDField     = "id:"
+	// lateHeadTimeout is how long a late response is waited for after its attempt was
+	// cancelled: endpoints may fall silent for a second or so.
+	lateHeadTimeout = 2 * time.Second
+	eventIDField    = "id:"
 )
 
 // exchange is one attempt: a request sent on one connection and its response.
@@ -52,12 +57,54 @@
 	responseBody  []byte         // set before ResponseReceived is sent
 	cause         error          // set before AttemptFailed is sent
 	started       time.Time
+
+	lock      sync.Mutex
+	conn      net.Conn // guarded by lock, nil before the request is sent
+	answered  bool     // guarded by lock: the head of the response came, or the connection ended
+	withdrawn bool     // guarded by lock
+}
+
+// withdraw stops the attempt. The endpoint learns that nobody waits for the response, but
+// what it says of itself in the head of a late one is still heard.
+func (x *exchange) withdraw() {
+	x.lock.Lock()
+	defer x.lock.Unlock()
+	if x.withdrawn {
+		return
+	}
+	x.withdrawn = true
+	c, ok := x.conn.(interface{ CloseWrite() error })
+	if !ok || x.answered || isRouter(x.endpoint.ID) || c.CloseWrite() != nil {
+		x.cancel()
+		return
+	}
+	time.AfterFunc(lateHeadTimeout, x.cancel)
+}
+
+// open records the connection of the request. It returns false if the attempt was
+// withdrawn before.
+func (x *exchange) open(conn net.Conn) bool {
+	x.lock.Lock()
+	defer x.lock.Unlock()
+	x.conn = conn
+	return !x.withdrawn
+}
+
+// answer records that the head of the response came, or the connection ended. It reports
+// whether the attempt was withdrawn before.
+func (x *exchange) answer() (late bool) {
+	x.lock.Lock()
+	defer x.lock.Unlock()
+	x.answered = true
+	return x.withdrawn
 }
 
 // run sends the request and passes the events of its response to emit. The last
-// event is StreamEnded, ResponseReceived or AttemptFailed; there is none if ctx
-// ends first.
+// event is StreamEnded, ResponseReceived, AttemptFailed or LateHead; there is none if
+// ctx ends first. It releases the body.
 func (x *exchange) run(ctx context.Context, pool *ConnPool, codec HeaderCodec, emit func(proxy.Event)) {
+	release := sync.OnceFunc(x.body.release)
+	defer release()
 	pc, err := pool.get(ctx, x.endpoint, x.mustNotRepeat)
 	if err != nil {
 		x.cause = err
@@ -65,19 +112,25 @@
 		return
 	}
 	x.fresh, pc.fresh = pc.fresh, false
+	if !x.open(pc.conn) {
+		_ = pc.conn.Close() // has carried no part of the request
+		return
+	}
 	stop := context.AfterFunc(ctx, func() { _ = pc.conn.Close() }) // unblocks reads and writes
 	sentAt := pool.clock()
 	if x.onSend != nil {
 		x.onSend(sentAt)
 	}
 	sent := x.send(pc)
+	release()
 	r, err := x.readResponseHead(pc, codec)
+	late := x.answer()
 	if x.onRead != nil && ctx.Err() == nil {
 		x.onRead(sentAt, pool.clock())
 	}
 	if err != nil {
 		_ = pc.conn.Close() // the connection is in an unknown state
-		if !stop() {
+		if !stop() || late {
 			return // cancelled
 		}
 		x.cause = err
@@ -85,6 +138,12 @@
 		return
 	}
 	x.response, x.began = r, pool.clock()
+	if late {
+		_ = pc.conn.Close() // the endpoint was told that nothing follows
+		emit(proxy.LateHead{Attempt: x.attempt, Head: codec.ParseResponse(r.StatusCode, r.Header)})
+		stop()
+		return
+	}
 	var last proxy.Event
 	if isStream(r) {
 		emit(proxy.HeadReceived{Attempt: x.attempt, Head: codec.ParseResponse(r.StatusCode, r.Header)})
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -201,6 +201,44 @@
 		Expect(p.requestCount()).To(Equal(1))
 	})
 
+	// Guards against losing what an endpoint says in the answer to an attempt that was given
+	// up while the endpoint was silent.
+	It("sends nothing to an endpoint that asked so in an answer to a cancelled attempt", func() {
+		ended := make(chan error, 2)
+		p := newScriptedEndpoint(func(conn net.Conn, _ *http.Request, _ int) {
+			_, err := conn.Read(make([]byte, 1))
+			ended <- err
+			writeString(conn, "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nRetry-After: 2s\r\nContent-Length: 0\r\n\r\n")
+		})
+		f := newFixture(idempotentRoute, p)
+		f.server.Client().Timeout = 50 * time.Millisecond
+		Expect(f.call("POST", "a", "body").err).To(HaveOccurred())
+		Eventually(ended).Should(Receive(Equal(io.EOF)))
+		time.Sleep(100 * time.Millisecond)
+		f.server.Client().Timeout = 0
+		Expect(f.call("POST", "b", "body").status).To(Equal(503))
+		Expect(p.requestCount()).To(Equal(1))
+	})
+
+	It("does not wait for long for the answer to a cancelled attempt", func() {
+		closed := make(chan time.Duration, 1)
+		p := newScriptedEndpoint(func(conn net.Conn, _ *http.Request, _ int) {
+			_, _ = conn.Read(make([]byte, 1)) // until the attempt is cancelled
+			cancelled := time.Now()
+			for { // a connection that is closed refuses what follows
+				if _, err := conn.Write([]byte("\r\n")); err != nil {
+					closed <- time.Since(cancelled)
+					return
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+		})
+		f := newFixture(idempotentRoute, p)
+		f.server.Client().Timeout = 50 * time.Millisecond
+		Expect(f.call("POST", "a", "body").err).To(HaveOccurred())
+		Eventually(closed, 5*time.Second).Should(Receive(BeNumerically("<", 3*time.Second)))
+	})
+
 	// Guards against a connection that ends without an answer although the caller has got
 	// nothing yet.
 	It("answers a stream that is broken off before its first event", func() {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -381,4 +381,4 @@
 
 // attemptGrace is the time after a request's deadline at which its attempts are
 // cancelled, if they have not ended.
-const attemptGrace = time.Second
+const attemptGrace = lateHeadTimeout
