Take no endpoint for ended that only gets no new requests

Cause: an endpoint counts as ended once it is not in the view, but the view leaves out those that get no new requests: of a zone that is out of service, that leave, or whose version is not used. So a connection that one of them reset, though it lived, counted as its crash at once, and no entry could clear it. Runs that were withdrawn at such endpoints counted as crashes of their requests, too.

Change: the view tells of all endpoints whether and since when they run.

--- a/internal/syncer/crash_entries_test.go
+++ b/internal/syncer/crash_entries_test.go
@@ -71,6 +71,27 @@
 		}, entryWait, "50ms").Should(BeTrue())
 	}))
 
+	// Guards against endpoints that live and get no new requests, since their zone is out of
+	// service or they leave: connections that they reset counted as crashes for certain.
+	It("are not held for ended as long as they are announced", onFakeClock(func() {
+		s, routers := start()
+		s.set("z/z", map[string]any{})
+		endpoint := world.Endpoint{Service: "s", Address: "a:1", Zone: "y", Version: "v1", Slots: 4, StartedMillis: 5, Leaving: true}
+		s.set("e/e0", endpoint)
+		Eventually(func() bool { return routers[0].View().OutZones["z"] }, "3s").Should(BeTrue())
+		Eventually(func() bool { return routers[1].View().OutZones["z"] }, "3s").Should(BeTrue())
+		for i := range 3 {
+			now := time.Now().Add(time.Duration(i-3) * 3 * time.Second)
+			routers[0].ObserveRun(now, poison.RunEnd{
+				Subject:     poison.Subject{Fingerprint: ident.Fingerprint(i), Service: "s", Parts: []string{"common"}},
+				Incarnation: poison.Incarnation{Endpoint: ident.EndpointID(fmt.Sprint("e", i)), BootID: "5"}, Started: now.Add(-20 * time.Millisecond), Broke: true,
+			})
+		}
+		Consistently(func() bool {
+			return cause(routers[0]) == poison.CauseNone && cause(routers[1]) == poison.CauseNone
+		}, "4s", "50ms").Should(BeTrue())
+	}))
+
 	// Guards against a router that has just started, and knows no endpoint yet: it took those
 	// under which others had seen connections reset for ended, and told all routers so.
 	It("are not held for ended by a router that knows no endpoint yet", onFakeClock(func() {
--- a/internal/syncer/crashes.go
+++ b/internal/syncer/crashes.go
@@ -161,8 +161,8 @@
 		return nil
 	}
 	announced := func(i poison.Incarnation) bool {
-		e, known := v.Endpoint(i.Endpoint)
-		return known && e.StartedMillis != 0 && i.BootID == strconv.FormatInt(e.StartedMillis, 10)
+		millis, known := v.Started(i.Endpoint)
+		return known && millis != 0 && i.BootID == strconv.FormatInt(millis, 10)
 	}
 	lived := now.Add(-entryLapse)
 	r.parts.RecordEntries(lived, announced)
@@ -177,8 +177,8 @@
 		return // endpoints that are not known yet have not ended
 	}
 	ended := func(i poison.Incarnation) bool {
-		e, known := v.Endpoint(i.Endpoint)
-		return !known || e.StartedMillis != 0 && i.BootID != strconv.FormatInt(e.StartedMillis, 10)
+		millis, known := v.Started(i.Endpoint)
+		return !known || millis != 0 && i.BootID != strconv.FormatInt(millis, 10)
 	}
 	var broken []poison.RunEnd
 	c.lock.Lock()
--- a/internal/world/view.go
+++ b/internal/world/view.go
@@ -18,6 +18,7 @@
 	endpoints     map[ident.ServiceID][]*Endpoint
 	stable        map[ident.ServiceID]ident.VersionID
 	byID          map[ident.EndpointID]*Endpoint
+	started       map[ident.EndpointID]int64 // as Endpoint.StartedMillis, of all endpoints
 }
 
 // Endpoints returns a service's endpoints that may get new requests, sorted by
@@ -67,6 +68,14 @@
 	return e, ok
 }
 
+// Started returns when an endpoint's incarnation has started, in Unix milliseconds, 0 if it
+// does not tell, and whether there is such an endpoint. It may be one that gets no new
+// requests.
+func (v *View) Started(id ident.EndpointID) (millis int64, known bool) {
+	millis, known = v.started[id]
+	return millis, known
+}
+
 // StableVersion returns the version of a service that is used without roll-outs.
 func (v *View) StableVersion(service ident.ServiceID) ident.VersionID { return v.stable[service] }
 
@@ -81,6 +90,7 @@
 		endpoints:     map[ident.ServiceID][]*Endpoint{},
 		stable:        map[ident.ServiceID]ident.VersionID{},
 		byID:          make(map[ident.EndpointID]*Endpoint, len(s.endpoints)),
+		started:       make(map[ident.EndpointID]int64, len(s.endpoints)),
 	}
 	for id, r := range s.rollouts {
 		v.Rollouts[id] = r
@@ -93,6 +103,7 @@
 		v.stable[id] = version
 	}
 	for _, e := range s.endpoints {
+		v.started[e.ID] = e.StartedMillis
 		if e.Leaving || s.outZones[e.Zone] || !s.allowed(e) {
 			continue
 		}
