--- a/internal/proxy/action.go
+++ b/internal/proxy/action.go
@@ -29,6 +29,9 @@
 	LastEventID int64         // the stream resumes after this event
 	Grant       int           // endpoints that the router may send it to, if Endpoint stands for one
 	AllowedAt   time.Time     // when the retry budget allowed it, zero if it needed no allowance
+	// BaseEstimate is the predicted latency of the response or first event, before
+	// correction by observed latencies.
+	BaseEstimate time.Duration
 }
 
 // OpenStream starts the streamed response with the response head of an attempt.
--- a/internal/proxy/machine.go
+++ b/internal/proxy/machine.go
@@ -154,7 +154,7 @@
 		a.granted = m.grant()
 	}
 	actions := append(m.abandonHung(now), Dispatch{
-		Attempt: e.Attempt, Endpoint: e.Endpoint, Model: a.model, LastEventID: m.lastEventID, Grant: a.granted, AllowedAt: a.allowedAt,
+		Attempt: e.Attempt, Endpoint: e.Endpoint, Model: a.model, LastEventID: m.lastEventID, Grant: a.granted, AllowedAt: a.allowedAt, BaseEstimate: e.BaseEstimate,
 	})
 	if a.handoff {
 		m.reached += a.granted
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -177,7 +177,7 @@
 	}
 	if !d.AllowedAt.IsZero() {
 		x.onSend = func(now time.Time) { c.budget.Sent(d.AllowedAt, now) }
-		x.onRead = c.budget.Read
+		x.onRead = func(sent, answered time.Time) { c.budget.Read(sent, answered, d.BaseEstimate) }
 	}
 	c.exchanges = append(c.exchanges, x)
 	c.body.retain()
--- a/internal/retry/fleet_test.go
+++ b/internal/retry/fleet_test.go
@@ -248,7 +248,7 @@
 		return
 	}
 	for _, x := range f.unread {
-		x.budget.Read(x.sent, f.now)
+		x.budget.Read(x.sent, f.now, 0)
 		f.repeats = append(f.repeats, f.now)
 	}
 	f.unread = nil
--- a/internal/retry/window_budget.go
+++ b/internal/retry/window_budget.go
@@ -246,12 +246,13 @@
 	newest.unread++
 }
 
-// Read counts an attempt that was sent at one time as of the time at which its endpoint is
-// known to have read it.
-func (w *WindowBudget) Read(sent, now time.Time) {
+// Read counts an attempt that was sent at one time as of the time at which its endpoint read
+// it: earlier than the answer, which comes now, by the time that it was expected to take.
+func (w *WindowBudget) Read(sent, now time.Time, expected time.Duration) {
 	w.lock.Lock()
 	defer w.lock.Unlock()
 	w.current(now)
+	read := now.Add(-min(expected, now.Sub(sent)))
 	number := min(w.number(sent), w.newest)
 	if !w.holds(number) {
 		return
@@ -262,7 +263,7 @@
 	}
 	b.unread--
 	b.retries--
-	w.bucket(min(w.number(sent.Add(maxReadDelay)), w.newest)).retries++
+	w.bucket(min(w.number(read), w.number(sent.Add(maxReadDelay)), w.newest)).retries++
 }
 
 // number returns the number of the bucket of a time.
