Count second opinions as of when they are sent

Second opinions need no such margin: they follow answers, of which few come in a silence, and leave a tenth of the allowance.

--- a/internal/proxy/action.go
+++ b/internal/proxy/action.go
@@ -28,10 +28,14 @@
 	Model       ident.ModelID // "" keeps the model that the caller named
 	LastEventID int64         // the stream resumes after this event
 	Grant       int           // endpoints that the router may send it to, if Endpoint stands for one
-	AllowedAt   time.Time     // when the retry budget allowed it, zero if it needed no allowance
-	// BaseEstimate is the predicted latency of the response or first event, before
-	// correction by observed latencies.
-	BaseEstimate time.Duration
+	Allowance   Allowance
+}
+
+// Allowance tells how the retry budget allowed an attempt. It is zero if the attempt needed
+// no allowance.
+type Allowance struct {
+	At      time.Time
+	Opinion bool // a second opinion
 }
 
 // OpenStream starts the streamed response with the response head of an attempt.
--- a/internal/proxy/machine.go
+++ b/internal/proxy/machine.go
@@ -36,7 +36,7 @@
 	streamAttempt Attempt   // whose events are forwarded, if streamOpen
 	lastEventID   int64     // of the last event forwarded
 	mayHaveRun    bool      // an endpoint may have run the request
-	allowedAt     time.Time // when the retry budget allowed the attempt to be sent next, zero if it needed no allowance
+	allowance     Allowance // of the attempt to be sent next
 	done          bool
 }
 
@@ -50,9 +50,9 @@
 	baseEstimate   time.Duration
 	serviceTime    time.Duration
 	uncachedTokens ident.Tokens
-	allowedAt      time.Time // as in Machine
-	handoff        bool      // endpoint stands for another router
-	granted        int       // attempts that the other router may make, if handoff
+	allowance      Allowance
+	handoff        bool // endpoint stands for another router
+	granted        int  // attempts that the other router may make, if handoff
 	running        bool
 	succeeded      bool      // its endpoint may be used again
 	hung           bool      // replaced as soon as there is an endpoint for another attempt
@@ -147,14 +147,14 @@
 	a := attempt{
 		endpoint: e.Endpoint, model: m.currentModel(), started: now,
 		expected: e.Expected, baseEstimate: e.BaseEstimate, serviceTime: e.ServiceTime, uncachedTokens: e.UncachedTokens, running: true, handoff: e.Handoff,
-		allowedAt: m.allowedAt,
+		allowance: m.allowance,
 	}
-	m.allowedAt = time.Time{}
+	m.allowance = Allowance{}
 	if a.handoff {
 		a.granted = m.grant()
 	}
 	actions := append(m.abandonHung(now), Dispatch{
-		Attempt: e.Attempt, Endpoint: e.Endpoint, Model: a.model, LastEventID: m.lastEventID, Grant: a.granted, AllowedAt: a.allowedAt, BaseEstimate: e.BaseEstimate,
+		Attempt: e.Attempt, Endpoint: e.Endpoint, Model: a.model, LastEventID: m.lastEventID, Grant: a.granted, Allowance: a.allowance,
 	})
 	if a.handoff {
 		m.reached += a.granted
@@ -225,7 +225,7 @@
 	if !m.budget.Allow(now) {
 		return false
 	}
-	m.allowedAt = now
+	m.allowance = Allowance{At: now}
 	return true
 }
 
@@ -235,7 +235,7 @@
 	if !m.budget.AllowOpinion(now, escalationReserve) {
 		return false
 	}
-	m.allowedAt = now
+	m.allowance = Allowance{At: now, Opinion: true}
 	return true
 }
 
--- a/internal/proxy/response.go
+++ b/internal/proxy/response.go
@@ -98,7 +98,7 @@
 	m.reached += used - a.granted
 	if e.Head.Unreached && m.hasTimeLeft(now) && !m.selecting {
 		if used == 0 {
-			m.allowedAt = a.allowedAt
+			m.allowance = a.allowance
 			return append(actions, m.selectEndpoint()...)
 		}
 		if m.reached < m.request.Route.MaxAttempts && m.draw(now) {
@@ -125,7 +125,7 @@
 		actions[0] = report
 		m.mayHaveRun = true
 	} else {
-		m.allowedAt = a.allowedAt
+		m.allowance = a.allowance
 		m.reached -= a.granted
 		if !a.handoff {
 			m.reached--
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -175,9 +175,13 @@
 		head: encodeRequestHead(c.r, h, c.body.len()), body: c.body, mustNotRepeat: !c.route.Repeatable(),
 		cancel: cancel, started: now, memory: holding{budget: &c.server.buffer},
 	}
-	if !d.AllowedAt.IsZero() {
-		x.onSend = func(now time.Time) { c.budget.Sent(d.AllowedAt, now) }
-		x.onRead = func(sent, answered time.Time) { c.budget.Read(sent, answered, d.BaseEstimate) }
+	switch a := d.Allowance; {
+	case a.At.IsZero():
+	case a.Opinion:
+		x.onSend = func(now time.Time) { c.budget.Sent(a.At, now) }
+	default:
+		x.onSend = func(now time.Time) { c.budget.SentUnread(a.At, now) }
+		x.onRead = c.budget.Read
 	}
 	c.exchanges = append(c.exchanges, x)
 	c.body.retain()
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -50,7 +50,7 @@
 	memory        holding
 	fresh         bool                      // on a new connection, set before the first event
 	onSend        func(now time.Time)       // called once the connection is ready, nil for nothing
-	onRead        func(sent, now time.Time) // called once the head of the response came, or the connection ended, nil for nothing
+	onRead        func(sent, now time.Time) // called once the endpoint is known to have read the request, nil for nothing
 	cancel        context.CancelFunc
 	response      *http.Response // set before HeadReceived or ResponseReceived is sent
 	began         time.Time      // when the head of the response came, set before the event that follows
--- a/internal/retry/fleet_test.go
+++ b/internal/retry/fleet_test.go
@@ -232,7 +232,7 @@
 			}
 			if f.now.After(r.stalled) {
 				for _, at := range r.decided {
-					r.budget.Sent(at, f.now)
+					r.budget.SentUnread(at, f.now)
 					f.unread = append(f.unread, unreadRepeat{r.budget, f.now})
 				}
 				r.decided = nil
@@ -248,7 +248,7 @@
 		return
 	}
 	for _, x := range f.unread {
-		x.budget.Read(x.sent, f.now, 0)
+		x.budget.Read(x.sent, f.now)
 		f.repeats = append(f.repeats, f.now)
 	}
 	f.unread = nil
--- a/internal/retry/window_budget.go
+++ b/internal/retry/window_budget.go
@@ -230,29 +230,44 @@
 
 // Sent counts an attempt that was allowed at one time as of the time at which it is sent.
 // A process that was stopped in between sends in one window what it had decided in another.
-// Until it is read the attempt counts for maxReadDelay longer than the window.
 func (w *WindowBudget) Sent(allowed, now time.Time) {
 	w.lock.Lock()
 	defer w.lock.Unlock()
+	w.sent(allowed, now)
+}
+
+// SentUnread is Sent for an attempt that counts for maxReadDelay longer than the window, until
+// it is read. Second opinions need not: few are sent while endpoints are silent, since they
+// follow answers.
+func (w *WindowBudget) SentUnread(allowed, now time.Time) {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	if newest := w.sent(allowed, now); newest.retries > newest.unread {
+		newest.unread++
+	}
+}
+
+// sent moves an attempt to the newest bucket, and returns that.
+func (w *WindowBudget) sent(allowed, now time.Time) *bucket {
 	newest := w.current(now)
-	if number := min(w.number(allowed), w.newest); !w.holds(number) {
+	number := min(w.number(allowed), w.newest)
+	if !w.holds(number) {
 		newest.retries++
-	} else if b := w.bucket(number); b.retries-b.unread >= 1 {
+		return newest
+	}
+	if b := w.bucket(number); b.retries-b.unread >= 1 {
 		b.retries--
 		newest.retries++
-	} else {
-		return
 	}
-	newest.unread++
+	return newest
 }
 
-// Read counts an attempt that was sent at one time as of the time at which its endpoint read
-// it: earlier than the answer, which comes now, by the time that it was expected to take.
-func (w *WindowBudget) Read(sent, now time.Time, expected time.Duration) {
+// Read counts an attempt that was sent at one time as of the time at which its endpoint is
+// known to have read it.
+func (w *WindowBudget) Read(sent, now time.Time) {
 	w.lock.Lock()
 	defer w.lock.Unlock()
 	w.current(now)
-	read := now.Add(-min(expected, now.Sub(sent)))
 	number := min(w.number(sent), w.newest)
 	if !w.holds(number) {
 		return
@@ -263,7 +278,7 @@
 	}
 	b.unread--
 	b.retries--
-	w.bucket(min(w.number(read), w.number(sent.Add(maxReadDelay)), w.newest)).retries++
+	w.bucket(min(w.number(sent.Add(maxReadDelay)), w.newest)).retries++
 }
 
 // number returns the number of the bucket of a time.
--- a/internal/retry/window_budget_test.go
+++ b/internal/retry/window_budget_test.go
@@ -129,7 +129,6 @@
 		w := retry.NewWindowBudget(0, 1, length)
 		Expect(w.Allow(now)).To(BeTrue())
 		w.Sent(now, now.Add(800*time.Millisecond))
-		w.Read(now.Add(800*time.Millisecond), now.Add(800*time.Millisecond), 0)
 		Expect(w.Allow(now.Add(10600 * time.Millisecond))).To(BeFalse())
 		Expect(w.Allow(now.Add(11100 * time.Millisecond))).To(BeTrue())
 	})
@@ -138,25 +137,16 @@
 	It("counts an attempt in the window in which it is read", func() {
 		w := retry.NewWindowBudget(0, 1, length)
 		Expect(w.Allow(now)).To(BeTrue())
-		w.Sent(now, now)
-		w.Read(now, now.Add(1300*time.Millisecond), 100*time.Millisecond)
+		w.SentUnread(now, now)
+		w.Read(now, now.Add(1200*time.Millisecond))
 		Expect(w.Allow(now.Add(11100 * time.Millisecond))).To(BeFalse())
 		Expect(w.Allow(now.Add(11600 * time.Millisecond))).To(BeTrue())
 	})
 
-	It("counts an attempt whose answer comes in the expected time as of when it was sent", func() {
-		w := retry.NewWindowBudget(0, 1, length)
-		Expect(w.Allow(now)).To(BeTrue())
-		w.Sent(now, now)
-		w.Read(now, now.Add(1100*time.Millisecond), 1200*time.Millisecond)
-		Expect(w.Allow(now.Add(10400 * time.Millisecond))).To(BeFalse())
-		Expect(w.Allow(now.Add(10600 * time.Millisecond))).To(BeTrue())
-	})
-
 	It("counts an attempt that nobody is known to have read for as long as a silence lasts", func() {
 		w := retry.NewWindowBudget(0, 1, length)
 		Expect(w.Allow(now)).To(BeTrue())
-		w.Sent(now, now)
+		w.SentUnread(now, now)
 		Expect(w.Allow(now.Add(11400 * time.Millisecond))).To(BeFalse())
 		Expect(w.Allow(now.Add(12100 * time.Millisecond))).To(BeTrue())
 	})
@@ -164,8 +154,8 @@
 	It("counts an attempt that is answered late no longer than a silence lasts", func() {
 		w := retry.NewWindowBudget(0, 1, length)
 		Expect(w.Allow(now)).To(BeTrue())
-		w.Sent(now, now)
-		w.Read(now, now.Add(5*time.Second), time.Second)
+		w.SentUnread(now, now)
+		w.Read(now, now.Add(5*time.Second))
 		Expect(w.Allow(now.Add(11400 * time.Millisecond))).To(BeFalse())
 		Expect(w.Allow(now.Add(12100 * time.Millisecond))).To(BeTrue())
 	})
