--- a/internal/retry/fleet_test.go
+++ b/internal/retry/fleet_test.go
@@ -374,6 +374,46 @@
 	f.run(15*time.Second, 60, 1)
 }
 
+// TestFleetOpinionsInSilence guards against second opinions that count as of when they are
+// sent and break the bound: every answer asks for one, and of those that are sent while six
+// of ten endpoints are silent six of ten are read up to 1.4 s late.
+func TestFleetOpinionsInSilence(t *testing.T) {
+	const step = 20 * time.Millisecond
+	for _, perSecond := range []float64{20, 60, 150} {
+		for seed := range uint64(5) {
+			f := newFleetReplay(seed, 8, false, replayFeeds{})
+			var silentSince time.Time
+			for n := range int(40 * time.Second / step) {
+				f.now = now.Add(time.Duration(n) * step)
+				if f.random.Float64() < step.Seconds()/3 && f.now.Sub(silentSince) > 2*time.Second {
+					silentSince = f.now
+				}
+				silent := f.now.Sub(silentSince) < 1400*time.Millisecond
+				for _, r := range f.routers {
+					if f.random.Float64() >= perSecond*step.Seconds()/float64(len(f.routers)) {
+						continue
+					}
+					f.requests = append(f.requests, f.now)
+					r.budget.RecordFirst(f.now)
+					if silent && f.random.Float64() < 0.6 || !r.budget.AllowOpinion(f.now, 0.1) {
+						continue // not answered, or no opinion is left
+					}
+					r.budget.Sent(f.now, f.now)
+					read := f.now
+					if silent && f.random.Float64() < 0.6 {
+						read = silentSince.Add(1400 * time.Millisecond)
+					}
+					f.repeats = append(f.repeats, read)
+				}
+			}
+			slices.SortFunc(f.repeats, time.Time.Compare)
+			if over := f.over(); over > 0 {
+				t.Errorf("%.0f requests a second, seed %d: %.1f repeats over the bound", perSecond, seed, over)
+			}
+		}
+	}
+}
+
 // endRouters ends half of the routers, whose demand goes to the others, after repeats that
 // used up the allowance of a window.
 func endRouters(f *fleetReplay) { endHalf(f, f.routers[len(f.routers)/2:]) }
