--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -22,6 +22,8 @@
 		"sessions": sessionNames,
 		"refusals": unknownModel,
 		"slow":     slowKind,
+		"ahead":    sentAhead,
+		"hot":      hotRequest,
 		"crowd":    crowdOfKept,
 	}
 	c, known := cases[os.Args[1]]
--- a/review/stand-2/slow.go
+++ b/review/stand-2/slow.go
@@ -40,7 +40,7 @@
 	}
 	time.Sleep(time.Second)
 	const (
-		reads   = 6.0 // a second
+		reads   = 4.0 // a second
 		exports = 2.4 // a second, of the tenant
 		times   = 7.5
 		credits = 6.0 // a second
