--- a/review/stand-2/crowd.go
+++ b/review/stand-2/crowd.go
@@ -16,7 +16,10 @@
 	// crowdSize is the number of connections that the crowd keeps open to one router.
 	crowdSize = 660
 	// crowdPause is the time between two requests of the crowd on a connection.
-	crowdPause = 2200 * time.Millisecond
+	crowdPause = 2020 * time.Millisecond
+	// newcomers is the number of ordinary consumers, each of which opens a connection for
+	// each request.
+	newcomers = 16
 	// contact is contact_ms of the sheets.
 	contact = 3 * time.Second
 )
@@ -49,9 +52,9 @@
 			group.Go(func() { crowdMember(ctx, x, n, start, &open, &sent, &answered) })
 		}
 	}
-	last := newLastAnswers(8)
+	last := newLastAnswers(newcomers)
 	counts := newTally()
-	for n := range 8 {
+	for n := range newcomers {
 		group.Go(func() { newcomer(ctx, x, n, counts, last) })
 	}
 	broken := false
@@ -118,10 +121,10 @@
 			last.answered()
 		}
 		counts.add("new", a)
-		if i%25 == 0 || !a.served() {
+		if i%50 == 0 || !a.served() {
 			x.scene.note("new connection", "consumer", n, "id", fmt.Sprintf("%08x%08x", 1<<20+n, i), "status", a.status, "took", a.took.Round(time.Millisecond), "error", a.err)
 		}
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(40 * time.Millisecond)
 	}
 }
 
