--- a/review/stand-2/server.go
+++ b/review/stand-2/server.go
@@ -10,12 +10,16 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 // beat is the interval at which servers write their entries.
 const beat = 1200 * time.Millisecond
 
+// maxQueue is the number of requests that wait for a slot; others are turned away.
+const maxQueue = 24
+
 // server is a plain server, or a model server if it has models.
 type server struct {
 	scene   *scene
@@ -32,6 +36,7 @@
 	slowWork time.Duration
 
 	lock  sync.Mutex
+	queue atomic.Int32 // requests that wait for one
 	id    string
 	lives int
 	http  *http.Server
@@ -50,10 +55,10 @@
 	x.lives++
 	x.id = fmt.Sprintf("i-%s-%d", x.name, x.lives)
 	x.addr = l.Addr().String()
-	id := x.id
+	id, room := x.id, make(chan struct{}, x.slots)
 	ctx, cancel := context.WithCancel(context.Background())
 	x.end = cancel
-	x.http = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { x.serve(w, r, id) }), IdleTimeout: 20 * time.Second}
+	x.http = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { x.serve(w, r, id, room) }), IdleTimeout: 20 * time.Second}
 	go func(s *http.Server) { _ = s.Serve(l) }(x.http) // returns when the lifetime ends
 	born, address := time.Now().UnixMilli(), x.addr
 	go func() {
@@ -86,7 +91,7 @@
 	time.AfterFunc(3*beat, func() { x.scene.store.remove("servers", id) })
 }
 
-func (x *server) serve(w http.ResponseWriter, r *http.Request, id string) {
+func (x *server) serve(w http.ResponseWriter, r *http.Request, id string, room chan struct{}) {
 	attempt := r.Header.Get("Attempt-Id")
 	h := w.Header()
 	h.Set("Attempt-Id", attempt)
@@ -112,6 +117,19 @@
 		turnAway(http.StatusMisdirectedRequest)
 		return
 	}
+	if x.queue.Add(1) > maxQueue {
+		x.queue.Add(-1)
+		turnAway(http.StatusServiceUnavailable)
+		return
+	}
+	select {
+	case room <- struct{}{}:
+		x.queue.Add(-1)
+		defer func() { <-room }()
+	case <-r.Context().Done():
+		x.queue.Add(-1)
+		return
+	}
 	x.scene.ran(attempt, id, r, len(body))
 	h.Set("Server-Stamp", "stamp."+id+"."+attempt)
 	select {
