Tell by which revision a router decides, and what it was not told of

Of a router that refuses a request by its configuration, the logs told the generation only.

Refusals with 404 and 401 now have the revision at which the configuration was written and the time since the store confirmed it; new lines tell of watches that are left unanswered, of objects that this router should have known, of configurations of the same generation with other content, and of log lines that were left out. Three metrics tell generation, revision and age. No decision changes.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -165,6 +165,11 @@
 		bytes, conns := r.budget.Used()
 		r.metrics.Gauge("callers_bytes", bytes)
 		r.metrics.Gauge("callers_connections", int64(conns))
+		if v := r.controller.View(); v.Config != nil {
+			r.metrics.Gauge("config_generation", int64(v.Config.Generation))
+			r.metrics.Gauge("config_revision", int64(v.ConfigRevision.Counter()))
+			r.metrics.Gauge("config_age", r.controller.ConfigAge(r.clock()).Milliseconds())
+		}
 		r.metrics.Gauge("log_lines_limited", r.lostLines.RateLimited.Load())
 		r.metrics.Gauge("log_lines_lost", r.lostLines.QueueFull.Load())
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
@@ -180,6 +185,7 @@
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
 	wasReady := false
+	var limited, lost int64
 	for {
 		select {
 		case <-ctx.Done():
@@ -191,6 +197,10 @@
 		if c := r.controller.View().Config; c != nil {
 			r.closeIdle(now, c.Limits.IdleTimeout)
 		}
+		if l, q := r.lostLines.RateLimited.Load(), r.lostLines.QueueFull.Load(); l != limited || q != lost {
+			r.log.Warn("log lines left out", zap.Int64("limited", l-limited), zap.Int64("lost", q-lost))
+			limited, lost = l, q
+		}
 		if ready := r.isReady(); ready != wasReady {
 			wasReady = ready
 			r.log.Info("readiness changed", zap.Bool("ready", ready))
--- a/internal/paths/config.go
+++ b/internal/paths/config.go
@@ -4,11 +4,14 @@
 package paths
 
 import (
+	"encoding/json"
 	"slices"
 	"sort"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/marigoldscale/marigoldscale/pkg/ident"
 )
 
@@ -139,6 +142,7 @@
 	routesByService map[ident.ServiceID][]RouteID
 	routeCount      int
 	requiresKey     bool
+	digest          uint64
 }
 
 // New returns a configuration.
@@ -151,6 +155,7 @@
 		teamsByKey:      map[string]*Team{},
 		routesByService: map[ident.ServiceID][]RouteID{},
 		routeCount:      len(routes),
+		digest:          digestOf(routes, services, access, limits),
 	}
 	for _, s := range services {
 		c.Services[s.ID] = s
@@ -182,6 +187,15 @@
 	return c
 }
 
+// digestOf returns a hash of the content of a configuration, without its generation.
+func digestOf(routes []*Route, services []*Service, access Access, limits Limits) uint64 {
+	text, _ := json.Marshal([]any{routes, services, access, limits}) // fails only on types that these have not
+	return xxhash.Sum64(text)
+}
+
+// SameContent reports whether two configurations differ in nothing but their generation.
+func (c *Config) SameContent(other *Config) bool { return c.digest == other.digest }
+
 // RouteCount returns the number of routes.
 func (c *Config) RouteCount() int { return c.routeCount }
 
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -247,6 +247,8 @@
 	f.crashesChanged = make(chan struct{})
 }
 
+func (f *routerFixture) ConfigAge(time.Time) time.Duration { return 0 }
+
 func (f *routerFixture) RemoteWork(time.Time, ident.EndpointID) route.ModelBacklogs { return nil }
 
 func (f *routerFixture) RecordPrefixes(time.Time, ident.EndpointID, []uint64, []route.PromptPart) {}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -53,6 +53,8 @@
 type Control interface {
 	// View returns the latest view.
 	View() *world.View
+	// ConfigAge returns the time since the configuration in force was confirmed to be current.
+	ConfigAge(now time.Time) time.Duration
 	// SelectVersion returns the version of a service that a request should run on,
 	// or "" for any.
 	SelectVersion(now time.Time, v *world.View, service ident.ServiceID, key uint64, session ident.SessionKey) ident.VersionID
@@ -318,7 +320,7 @@
 	}
 	found, ok := config.Match(routeHost(c.r), routePath(c.r))
 	if !ok {
-		c.refuse(http.StatusNotFound, 0, "no route has this host and path")
+		c.refuseByConfig(view, http.StatusNotFound, "no route has this host and path")
 		return proxy.Request{}, false
 	}
 	c.route = found
@@ -331,7 +333,7 @@
 	if config.RequiresKey() && !found.Anonymous {
 		team, known := config.TeamByKey(c.head.Key)
 		if !known {
-			c.refuse(http.StatusUnauthorized, 0, "key is not known")
+			c.refuseByConfig(view, http.StatusUnauthorized, "key is not known")
 			return proxy.Request{}, false
 		}
 		c.team = team
--- a/internal/syncer/cache.go
+++ b/internal/syncer/cache.go
@@ -17,6 +17,8 @@
 	confirmed confirmations
 	objects   map[plat.Key]plat.Object
 	onChange  func(now time.Time, c cacheChange)
+	// onMissed is called with objects that the copy should have held, see missed.
+	onMissed func(objects []plat.Object)
 	// unchanged reports whether a change need not be forwarded to followers.
 	unchanged func(before, after plat.Object) bool
 }
@@ -34,7 +36,7 @@
 func newObjectCache(kind plat.Key, timing WatchTiming, onChange func(time.Time, cacheChange)) *objectCache {
 	return &objectCache{
 		kind: kind, timing: timing, objects: map[plat.Key]plat.Object{}, onChange: onChange,
-		unchanged: func(plat.Object, plat.Object) bool { return false },
+		unchanged: func(plat.Object, plat.Object) bool { return false }, onMissed: func([]plat.Object) {},
 	}
 }
 
@@ -60,6 +62,9 @@
 	present, removed := lastChanges(changes)
 	known := u.Full && oc.holds(u.Revision, present)
 	if u.Full {
+		if missed := oc.missed(present); len(missed) > 0 {
+			oc.onMissed(missed)
+		}
 		oc.objects = make(map[plat.Key]plat.Object, len(present))
 	}
 	for _, o := range present {
@@ -80,6 +85,21 @@
 	return forward, u.Full && !known || !u.Full && len(forward.Changes) > 0
 }
 
+// missed returns those of all present objects that the copy does not hold although it counts
+// as current up to a later revision: the store, or another router, did not tell of them.
+func (oc *objectCache) missed(present []plat.Object) (missed []plat.Object) {
+	if !oc.listed {
+		return nil
+	}
+	for _, o := range present {
+		before, known := oc.objects[o.Key]
+		if o.Version <= oc.revision && o.Version.Era() == oc.revision.Era() && (!known || before.Version < o.Version && !oc.unchanged(before, o)) {
+			missed = append(missed, o)
+		}
+	}
+	return missed
+}
+
 // holds reports whether the cache is complete as of a revision and holds exactly the given
 // objects.
 func (oc *objectCache) holds(revision plat.Version, objects []plat.Object) bool {
--- a/internal/syncer/controller.go
+++ b/internal/syncer/controller.go
@@ -154,6 +154,9 @@
 		routerPrefix: newObjectCache(routerPrefix, WatchTiming{Timeout: routerWatchTimeout, MinInterval: heartbeatInterval}, c.applyRouters),
 	}
 	c.caches[p.Endpoints].unchanged = c.sameEndpoint
+	for kind, oc := range c.caches {
+		oc.onMissed = func(objects []plat.Object) { c.logMissed(kind, objects) }
+	}
 	c.status = &storeStatus{probe: p.Endpoints}
 	c.watchers = map[plat.Key]*watcher{}
 	for kind, oc := range c.caches {
@@ -170,6 +173,18 @@
 	return c, nil
 }
 
+// ConfigAge returns the time since the store last confirmed to this router, or to one over
+// which its data comes, that the configuration is current. It is 0 before that.
+func (c *Controller) ConfigAge(now time.Time) time.Duration {
+	c.cacheLock.Lock()
+	defer c.cacheLock.Unlock()
+	confirmed := c.caches[c.codec.Prefixes().Configs].confirmed.at
+	if confirmed.IsZero() {
+		return 0
+	}
+	return now.Sub(confirmed)
+}
+
 // View returns the latest view.
 func (c *Controller) View() *world.View { return c.view.Load() }
 
@@ -251,7 +266,7 @@
 		case err != nil:
 			c.logUnreadable(o, err)
 		case ok:
-			c.applyEvent(now, world.ConfigChanged{Config: config})
+			c.applyEvent(now, world.ConfigChanged{Config: config, Revision: o.Version})
 		}
 	}
 }
@@ -297,6 +312,13 @@
 	}
 }
 
+// logMissed logs that the store, or another router, did not tell of objects.
+func (c *Controller) logMissed(kind plat.Key, objects []plat.Object) {
+	first := objects[0]
+	c.log.Warn("changes missed", zap.String("kind", string(kind)), zap.Int("objects", len(objects)),
+		zap.String("name", string(first.Key)), zap.Stringer("revision", first.Version))
+}
+
 // maxUnreadable bounds the unreadable objects that are tracked.
 const maxUnreadable = 1000
 
--- a/internal/syncer/watcher.go
+++ b/internal/syncer/watcher.go
@@ -231,8 +231,12 @@
 	if !w.confirmed {
 		wait = confirmTimeout
 	}
+	start := w.clock()
 	changes, revision, err := w.store.Watch(ctx, plat.ClassConfig, w.kind, cached, wait)
 	if err != nil {
+		if took := w.clock().Sub(start); took > wait && errors.Is(err, plat.ErrUnavailable) {
+			w.log.Warn("watch not answered", zap.String("kind", string(w.kind)), zap.Stringer("after", cached), zap.Duration("took", took), zap.Duration("wait", wait))
+		}
 		return err
 	}
 	w.onUpdate(w.clock(), feed.Update{Kind: w.kind, Revision: max(cached, revision), Changes: changes})
--- a/internal/world/state.go
+++ b/internal/world/state.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/marigoldscale/marigoldscale/internal/paths"
+	"github.com/marigoldscale/marigoldscale/internal/plat"
 	"github.com/marigoldscale/marigoldscale/pkg/ident"
 )
 
@@ -69,8 +70,11 @@
 	StartedMillis int64 // of the incarnation that said so
 }
 
-// ConfigChanged holds the latest configuration.
-type ConfigChanged struct{ Config *paths.Config }
+// ConfigChanged holds the latest configuration, and the revision at which it was stored.
+type ConfigChanged struct {
+	Config   *paths.Config
+	Revision plat.Version
+}
 
 // RolloutsChanged lists roll-outs that were added, changed or removed. Full means
 // that all others were removed.
@@ -126,6 +130,7 @@
 type State struct {
 	settings       Settings
 	config         *paths.Config
+	configRevision plat.Version
 	endpoints      map[ident.EndpointID]*Endpoint
 	removedAt      map[ident.EndpointID]time.Time // removal time of entries that are kept for the time being
 	gone           map[ident.EndpointID]goneEndpoint
@@ -178,7 +183,7 @@
 	case EndpointLeaving:
 		changed = s.applyLeaving(x)
 	case ConfigChanged:
-		changed = s.applyConfig(x.Config)
+		changed = s.applyConfig(x)
 	case RolloutsChanged:
 		changed = s.applyRollouts(now, x)
 	case ZonesChanged:
@@ -224,18 +229,27 @@
 
 // applyConfig applies a configuration unless its generation is not newer than the
 // current one, and reports whether the view changes.
-func (s *State) applyConfig(c *paths.Config) bool {
+func (s *State) applyConfig(x ConfigChanged) bool {
+	c := x.Config
 	if s.config != nil && c.Generation <= s.config.Generation {
-		if c.Generation < s.config.Generation {
-			s.record("configuration ignored", fmt.Sprint(c.Generation), "older than the current generation %d", s.config.Generation)
+		switch {
+		case c.Generation < s.config.Generation:
+			s.ignoreConfig(x, "older than the current generation %d", s.config.Generation)
+		case !c.SameContent(s.config):
+			s.ignoreConfig(x, "of the current generation, with other content than that of revision %v", s.configRevision)
 		}
 		return false
 	}
-	s.config = c
-	s.record("configuration in force", fmt.Sprint(c.Generation), "%d routes, %d services", c.RouteCount(), len(c.Services))
+	s.config, s.configRevision = c, x.Revision
+	s.record("configuration in force", fmt.Sprint(c.Generation), "%d routes, %d services, revision %v", c.RouteCount(), len(c.Services), x.Revision)
 	return true
 }
 
+// ignoreConfig records why a configuration is not put in force.
+func (s *State) ignoreConfig(x ConfigChanged, format string, args ...any) {
+	s.record("configuration ignored", fmt.Sprint(x.Config.Generation), "revision %v: %s", x.Revision, fmt.Sprintf(format, args...))
+}
+
 func (s *State) service(id ident.ServiceID) *paths.Service {
 	if s.config == nil {
 		return nil
--- a/internal/world/view.go
+++ b/internal/world/view.go
@@ -5,20 +5,22 @@
 	"time"
 
 	"github.com/marigoldscale/marigoldscale/internal/paths"
+	"github.com/marigoldscale/marigoldscale/internal/plat"
 	"github.com/marigoldscale/marigoldscale/pkg/ident"
 )
 
 // View is an immutable snapshot of a State. Each request uses one.
 type View struct {
-	Config        *paths.Config // nil until the first one is known
-	Ready         bool          // whether all kinds of data are known, and were current once
-	Rollouts      map[ident.ServiceID]Rollout
-	OutZones      map[ident.ZoneID]bool // zones taken out of service
-	EndpointCount int                   // all endpoints, including those that get no new requests
-	endpoints     map[ident.ServiceID][]*Endpoint
-	stable        map[ident.ServiceID]ident.VersionID
-	byID          map[ident.EndpointID]*Endpoint
-	started       map[ident.EndpointID]int64 // as Endpoint.StartedMillis, of all endpoints
+	Config         *paths.Config // nil until the first one is known
+	ConfigRevision plat.Version  // at which Config was stored
+	Ready          bool          // whether all kinds of data are known, and were current once
+	Rollouts       map[ident.ServiceID]Rollout
+	OutZones       map[ident.ZoneID]bool // zones taken out of service
+	EndpointCount  int                   // all endpoints, including those that get no new requests
+	endpoints      map[ident.ServiceID][]*Endpoint
+	stable         map[ident.ServiceID]ident.VersionID
+	byID           map[ident.EndpointID]*Endpoint
+	started        map[ident.EndpointID]int64 // as Endpoint.StartedMillis, of all endpoints
 }
 
 // Endpoints returns a service's endpoints that may get new requests, sorted by
@@ -82,7 +84,7 @@
 // build returns the view of the state.
 func (s *State) build() *View {
 	v := &View{
-		Config:        s.config,
+		Config: s.config, ConfigRevision: s.configRevision,
 		Ready:         s.config != nil && s.endpointsKnown && s.rolloutsKnown && s.zonesKnown && (s.confirmed || !s.settings.AwaitConfirmation),
 		Rollouts:      make(map[ident.ServiceID]Rollout, len(s.rollouts)),
 		OutZones:      make(map[ident.ZoneID]bool, len(s.outZones)),
