Continue a watch from what was read, not from the store's revision

Seen in TestChangesWhileWatchesHearNothing: eight routers answer 404 for a route that the store has acknowledged, until the next change, and no log line tells why.

Cause: a watch that ends without an event moved the router on to the store's present revision. If the store's watches hear nothing while a change is made, the change lies before that revision: no later watch tells of it, and the loss of the history shows as 410 only if something else was written since. All kinds of objects are open to it, and a follower takes the hole with the feed.

A watch now continues from the latest change that was read, by itself or by a list. The store then either still has what it did not tell, or answers 410, after which all is listed. Where nothing changes for longer than the store's history, that costs a list; one that shows nothing new is not forwarded to followers, whose revision may stay behind.

--- a/internal/syncer/cache.go
+++ b/internal/syncer/cache.go
@@ -100,10 +100,11 @@
 	return missed
 }
 
-// holds reports whether the cache is complete as of a revision and holds exactly the given
-// objects.
+// holds reports whether the cache is complete and holds exactly the given objects, which are
+// those of a revision. That of the cache may be an earlier one of the same era, as it does not
+// rise while nothing changes.
 func (oc *objectCache) holds(revision plat.Version, objects []plat.Object) bool {
-	if !oc.listed || oc.revision != revision || len(oc.objects) != len(objects) {
+	if !oc.listed || oc.revision.Era() != revision.Era() || len(oc.objects) != len(objects) {
 		return false
 	}
 	for _, o := range objects {
--- a/internal/syncer/watcher.go
+++ b/internal/syncer/watcher.go
@@ -232,17 +232,28 @@
 		wait = confirmTimeout
 	}
 	start := w.clock()
-	changes, revision, err := w.store.Watch(ctx, plat.ClassConfig, w.kind, cached, wait)
+	changes, _, err := w.store.Watch(ctx, plat.ClassConfig, w.kind, cached, wait)
 	if err != nil {
 		if took := w.clock().Sub(start); took > wait && errors.Is(err, plat.ErrUnavailable) {
 			w.log.Warn("watch not answered", zap.String("kind", string(w.kind)), zap.Stringer("after", cached), zap.Duration("took", took), zap.Duration("wait", wait))
 		}
 		return err
 	}
-	w.onUpdate(w.clock(), feed.Update{Kind: w.kind, Revision: max(cached, revision), Changes: changes})
+	w.onUpdate(w.clock(), feed.Update{Kind: w.kind, Revision: lastRevision(cached, changes), Changes: changes})
 	return nil
 }
 
+// lastRevision returns the revision from which the next watch continues: that of the latest
+// change, and not that of the store. While watches hear nothing the store may be past changes
+// that it never tells of. It then either still has them after this revision, or says that its
+// history is gone.
+func lastRevision(position plat.Version, changes []plat.Change) plat.Version {
+	for _, c := range changes {
+		position = max(position, c.At)
+	}
+	return position
+}
+
 func (w *watcher) recordFailure(err error) {
 	w.reset()
 	w.confirmed = false
