Take what the store acknowledges after it came back from an older copy

Seen in TestChangesAfterRewind: after the store has come back from an older copy, none of eight routers serves a route that it has acknowledged since, if the generation of that configuration is not higher than that of the one which the store has lost. Routers that start meanwhile do serve it, so that routers of one generation answer differently.

Cause: configurations were ordered by their generation alone, and those of an era that is lost still counted. Two orders, of which the wrong one decided.

Of a later era, a configuration that was written since the return is now in force whatever its generation. One that the first look at the store finds was either in the older copy or written since: it is ignored if it was in force before, and else put in force after 1.5 s, unless the operator writes another. Within an era, a lower generation is still ignored (a write that is executed late must not bring an old one back), and the same one with other content takes the place of what was stored before it.

--- a/internal/paths/config.go
+++ b/internal/paths/config.go
@@ -193,6 +193,9 @@
 	return xxhash.Sum64(text)
 }
 
+// Digest returns a hash of all that the configuration holds but its generation.
+func (c *Config) Digest() uint64 { return c.digest }
+
 // SameContent reports whether two configurations differ in nothing but their generation.
 func (c *Config) SameContent(other *Config) bool { return c.digest == other.digest }
 
--- a/internal/syncer/controller.go
+++ b/internal/syncer/controller.go
@@ -266,7 +266,7 @@
 		case err != nil:
 			c.logUnreadable(o, err)
 		case ok:
-			c.applyEvent(now, world.ConfigChanged{Config: config, Revision: o.Version})
+			c.applyEvent(now, world.ConfigChanged{Config: config, Revision: o.Version, Rewound: x.rewound})
 		}
 	}
 }
--- a/internal/world/state.go
+++ b/internal/world/state.go
@@ -74,6 +74,7 @@
 type ConfigChanged struct {
 	Config   *paths.Config
 	Revision plat.Version
+	Rewound  bool // see EndpointsChanged
 }
 
 // RolloutsChanged lists roll-outs that were added, changed or removed. Full means
@@ -131,6 +132,8 @@
 	settings       Settings
 	config         *paths.Config
 	configRevision plat.Version
+	pastConfigs    pastConfigs
+	heldConfig     *heldConfig // nil for none
 	endpoints      map[ident.EndpointID]*Endpoint
 	removedAt      map[ident.EndpointID]time.Time // removal time of entries that are kept for the time being
 	gone           map[ident.EndpointID]goneEndpoint
@@ -183,7 +186,7 @@
 	case EndpointLeaving:
 		changed = s.applyLeaving(x)
 	case ConfigChanged:
-		changed = s.applyConfig(x)
+		changed = s.applyConfig(now, x)
 	case RolloutsChanged:
 		changed = s.applyRollouts(now, x)
 	case ZonesChanged:
@@ -220,36 +223,44 @@
 func (s *State) expire(now time.Time) bool {
 	removed := s.expireRemoved(now)
 	admitted := s.admitHeldBack(now)
-	return s.restoreLostZones(now) || admitted || removed
+	config := s.applyHeldConfig(now)
+	return s.restoreLostZones(now) || admitted || removed || config
 }
 
 func (s *State) record(message, name, format string, args ...any) {
 	s.changes = append(s.changes, Change{Message: message, Name: name, Detail: fmt.Sprintf(format, args...)})
 }
 
-// applyConfig applies a configuration unless its generation is not newer than the
-// current one, and reports whether the view changes.
-func (s *State) applyConfig(x ConfigChanged) bool {
-	c := x.Config
-	if s.config != nil && c.Generation <= s.config.Generation {
-		switch {
-		case c.Generation < s.config.Generation:
-			s.ignoreConfig(x, "older than the current generation %d", s.config.Generation)
-		case !c.SameContent(s.config):
-			s.ignoreConfig(x, "of the current generation, with other content than that of revision %v", s.configRevision)
+// applyConfig applies a configuration if it is newer than the current one, or takes its place,
+// and reports whether the view changes.
+func (s *State) applyConfig(now time.Time, x ConfigChanged) bool {
+	s.heldConfig = nil // older than x
+	if c := s.config; c != nil && x.Config.Generation <= c.Generation {
+		if x.Config.Generation == c.Generation && x.Config.SameContent(c) {
+			s.configRevision = max(s.configRevision, x.Revision)
+			return true
+		}
+		if !s.decideConfig(now, x) {
+			return false
 		}
-		return false
 	}
-	s.config, s.configRevision = c, x.Revision
-	s.record("configuration in force", fmt.Sprint(c.Generation), "%d routes, %d services, revision %v", c.RouteCount(), len(c.Services), x.Revision)
+	s.putInForce(x)
 	return true
 }
 
+func (s *State) putInForce(x ConfigChanged) {
+	s.config, s.configRevision, s.heldConfig = x.Config, x.Revision, nil
+	s.pastConfigs.add(x.Config)
+	s.record("configuration in force", nameOf(x), "%d routes, %d services, revision %v", x.Config.RouteCount(), len(x.Config.Services), x.Revision)
+}
+
 // ignoreConfig records why a configuration is not put in force.
 func (s *State) ignoreConfig(x ConfigChanged, format string, args ...any) {
-	s.record("configuration ignored", fmt.Sprint(x.Config.Generation), "revision %v: %s", x.Revision, fmt.Sprintf(format, args...))
+	s.record("configuration ignored", nameOf(x), "revision %v: %s", x.Revision, fmt.Sprintf(format, args...))
 }
 
+func nameOf(x ConfigChanged) string { return fmt.Sprint(x.Config.Generation) }
+
 func (s *State) service(id ident.ServiceID) *paths.Service {
 	if s.config == nil {
 		return nil
