Let followers that the store answers tell the router that they follow

Seen in TestRoutersTurnedAwayAfterOutageTakeChanges: the store is silent to all for 8 s and then still to the four that rank first. None of these serves a route within 7 s of its acknowledgement; the other four do after 2 s.

A source was looked for where it was before, and those that have one could not say so: data goes down the feeds only.

A follower now tells a parent whose data is not current that the store answers it, with the frames that carry evidence; the parent opens a link to it at once. Routers of an earlier build ignore the field.

--- a/internal/feed/frame.go
+++ b/internal/feed/frame.go
@@ -92,6 +92,9 @@
 	// Origin tells where the sender's data comes from. It comes with Ages; a router of an
 	// earlier build sends none.
 	Origin *Origin `json:"origin,omitempty"`
+	// Answered tells, in a frame to the parent whose data is not current, that the store has
+	// answered the sender lately: it reads the store for routers that follow it.
+	Answered bool `json:"answered,omitempty"`
 	// Evidence holds tallies on versions, in the encoding of package syncer.
 	Evidence []json.RawMessage `json:"evidence,omitempty"`
 	// Crashes holds the requests that ran while endpoints ended, and the shared parts
--- a/internal/syncer/controller.go
+++ b/internal/syncer/controller.go
@@ -106,10 +106,11 @@
 	dataConfirmed  atomic.Bool // see confirmStart
 	membershipLock sync.Mutex  // acquired after cacheLock
 	membership     *feed.Membership
-	entryLost      atomic.Bool   // the store lost this router's entry
-	entryOfBefore  atomic.Bool   // the store may hold an entry of an earlier run of this router
-	linkChanged    chan struct{} // see wakeManager
-	entryOld       atomic.Uint64 // version of this router's entry if it tells something else, 0 otherwise
+	entryLost      atomic.Bool      // the store lost this router's entry
+	entryOfBefore  atomic.Bool      // the store may hold an entry of an earlier run of this router
+	linkChanged    chan struct{}    // see wakeManager
+	answered       answeredFollower // guarded by membershipLock
+	entryOld       atomic.Uint64    // version of this router's entry if it tells something else, 0 otherwise
 
 	cacheLock    sync.Mutex // guards the fields below; acquired before lock
 	caches       map[plat.Key]*objectCache
--- a/internal/syncer/frames.go
+++ b/internal/syncer/frames.go
@@ -97,8 +97,9 @@
 		f := feed.Frame{
 			From: c.settings.Router, Evidence: c.evidenceSince(&cursor),
 			Crashes: c.crashesSince(now, &crashes), Limits: c.limitsSince(&limitCursor), Pinned: c.pinned.since(now, &pinCursor),
+			Answered: !c.isFresh(now, l) && c.status.answeredWithin(now, staleAfter),
 		}
-		if (len(f.Evidence)+len(f.Limits)+len(f.Pinned) > 0 || f.Crashes != nil) && stream.Send(f) != nil {
+		if (len(f.Evidence)+len(f.Limits)+len(f.Pinned) > 0 || f.Crashes != nil || f.Answered) && stream.Send(f) != nil {
 			return // receiveFrames reports the broken link
 		}
 	}
@@ -204,6 +205,9 @@
 	c.mergeCrashes(now, f.Crashes)
 	c.limits.Merge(now, f.Limits)
 	c.pinned.receive(now, f.Pinned)
+	if f.Answered {
+		c.hearAnswered(now, f.From)
+	}
 	if f.Load != nil {
 		c.loads.setFollowerLoad(now, f.From, f.Load)
 		c.speeds.setFollowerSpeeds(now, f.From, decodeSpeeds(f.Load))
--- a/internal/syncer/links.go
+++ b/internal/syncer/links.go
@@ -126,6 +126,7 @@
 	case target == "":
 	case s.parent() != target && s.trials[target] == nil:
 		c.openTrial(ctx, now, s, plan.Parent, false)
+	case !fresh && c.tryAnswered(ctx, now, s):
 	case c.maySearch(now, s, target):
 		others := slices.DeleteFunc(c.membership.Others(), func(p feed.Peer) bool { return s.trials[p.Router] != nil || p.Router == s.parent() })
 		if p, ok := s.search.Next(now, others); ok && c.openTrial(ctx, now, s, p, false) {
@@ -186,6 +187,34 @@
 	return true
 }
 
+// answeredFollower is the last router that told this one, whose data it follows, that the
+// store answers it.
+type answeredFollower struct {
+	router ident.RouterID
+	at     time.Time
+}
+
+// hearAnswered records that the store answers a follower. Many followers may tell so at once;
+// the next look at the links takes the last of them.
+func (c *Controller) hearAnswered(now time.Time, id ident.RouterID) {
+	c.membershipLock.Lock()
+	defer c.membershipLock.Unlock()
+	c.answered = answeredFollower{router: id, at: now}
+}
+
+// tryAnswered opens a link on trial to a follower that the store answers, and reports whether it
+// did. It answers the load of a store that comes back from an outage for some routers only: by
+// then a search for a current feed pauses for seconds between its tries. The caller must hold
+// c.membershipLock.
+func (c *Controller) tryAnswered(ctx context.Context, now time.Time, s *parentLinks) bool {
+	if now.Sub(c.answered.at) >= staleAfter {
+		return false
+	}
+	others := c.membership.Others()
+	i := slices.IndexFunc(others, func(p feed.Peer) bool { return p.Router == c.answered.router })
+	return i >= 0 && s.parent() != c.answered.router && c.openTrial(ctx, now, s, others[i], false)
+}
+
 // leaveStale ranks the router that is followed, if any, behind others until it has current
 // data: another one has, so that it is not the store that is away. The caller must hold
 // c.membershipLock.
