Put the rest of a configuration in force if a part of it cannot be read

Seen in TestOddRouteKeepsNoOtherOut: a configuration that the store has acknowledged holds one route of a kind that this build does not know, or with a field of another type. No router puts it in force, so that all routes that it adds get 404.

Cause: the configuration was decoded as one, and passed over as one.

Routes, services and teams are now decoded one by one, and a line names what could not be read.

--- a/internal/syncer/controller.go
+++ b/internal/syncer/controller.go
@@ -40,7 +40,8 @@
 	Name(key plat.Key) string
 	// Announcement decodes an endpoint's entry.
 	Announcement(o plat.Object) (world.Announcement, error)
-	// Config decodes the configuration, and reports whether the object holds one.
+	// Config decodes the configuration, and reports whether the object holds one. An error
+	// beside a configuration names the parts of it that cannot be read.
 	Config(o plat.Object) (*paths.Config, bool, error)
 	// Rollout decodes a roll-out.
 	Rollout(o plat.Object) (world.Rollout, error)
@@ -264,9 +265,12 @@
 	for _, o := range x.present {
 		config, ok, err := c.codec.Config(o)
 		switch {
+		case err != nil && ok:
+			c.logParts(o, err)
 		case err != nil:
 			c.logUnreadable(o, err)
-		case ok:
+		}
+		if ok {
 			c.applyEvent(now, world.ConfigChanged{Config: config, Revision: o.Version, Rewound: x.rewound})
 		}
 	}
@@ -301,16 +305,29 @@
 
 // logUnreadable logs an object that cannot be decoded, once per object version.
 func (c *Controller) logUnreadable(o plat.Object, err error) {
+	if c.firstUnreadable(o) {
+		c.log.Warn("object passed over", zap.String("name", string(o.Key)), zap.Stringer("revision", o.Version), zap.Error(err))
+	}
+}
+
+// logParts logs the parts of an object that cannot be decoded, once per object version.
+func (c *Controller) logParts(o plat.Object, err error) {
+	if c.firstUnreadable(o) {
+		c.log.Warn("parts passed over", zap.String("name", string(o.Key)), zap.Stringer("revision", o.Version), zap.Error(err))
+	}
+}
+
+// firstUnreadable reports whether no line has been logged on an object of this version, and
+// records that one is.
+func (c *Controller) firstUnreadable(o plat.Object) bool {
 	c.lock.Lock()
+	defer c.lock.Unlock()
 	logged := c.unreadable[o.Key] == o.Version
 	if len(c.unreadable) >= maxUnreadable {
 		clear(c.unreadable)
 	}
 	c.unreadable[o.Key] = o.Version
-	c.lock.Unlock()
-	if !logged {
-		c.log.Warn("object passed over", zap.String("name", string(o.Key)), zap.Stringer("revision", o.Version), zap.Error(err))
-	}
+	return !logged
 }
 
 // logMissed logs that the store, or another router, did not tell of objects.
