List the objects of a kind beside a watch that is left unanswered

Seen in TestChangesWhileWatchesStayUnanswered: while the store answers all calls but watches, no router of eight takes a change, for as long as that lasts; and after a single such watch up to 2.05 s pass, where 2 s are allowed.

Cause: a watch was given 1.2 s beyond its time, and then followed by another watch. Only 410 led to a list. The same holds for a watch whose connection has fallen silent.

0.4 s after the end of its time, the kind is now listed beside the watch, over a new connection. The first answer counts; if neither comes, the call fails when it did before.

--- a/internal/syncer/watcher.go
+++ b/internal/syncer/watcher.go
@@ -27,6 +27,9 @@
 	// firstCallPollInterval is the pause between checks whether the first call
 	// was answered.
 	firstCallPollInterval = 10 * time.Millisecond
+	// overdueWait is how long after its end a watch may be answered. A slow store takes a
+	// quarter of a second.
+	overdueWait = 400 * time.Millisecond
 	// confirmTimeout is the wait of a watch that only confirms that nothing has changed.
 	confirmTimeout = 20 * time.Millisecond
 	// returnPause is how long a router that none follows leaves a store that answers
@@ -214,33 +217,73 @@
 // otherwise waits for changes.
 func (w *watcher) poll(ctx context.Context) error {
 	cached, listed := w.position()
+	var u feed.Update
+	var err error
 	if !listed || w.mustList {
-		objects, revision, err := w.store.ListWithVersion(ctx, plat.ClassConfig, w.kind)
-		if err != nil {
-			return err
-		}
-		changes := make([]plat.Change, len(objects))
-		for i, o := range objects {
-			changes[i] = plat.Change{Object: o, At: o.Version}
-		}
+		u, err = w.list(ctx)
+	} else {
+		u, err = w.watch(ctx, cached)
+	}
+	if err != nil {
+		return err
+	}
+	if u.Full {
 		w.mustList = false
-		w.onUpdate(w.clock(), feed.Update{Kind: w.kind, Full: true, Revision: revision, Changes: changes})
-		return nil
 	}
+	w.onUpdate(w.clock(), u)
+	return nil
+}
+
+// list reads all objects of the kind.
+func (w *watcher) list(ctx context.Context) (feed.Update, error) {
+	objects, revision, err := w.store.ListWithVersion(ctx, plat.ClassConfig, w.kind)
+	if err != nil {
+		return feed.Update{}, err
+	}
+	changes := make([]plat.Change, len(objects))
+	for i, o := range objects {
+		changes[i] = plat.Change{Object: o, At: o.Version}
+	}
+	return feed.Update{Kind: w.kind, Full: true, Revision: revision, Changes: changes}, nil
+}
+
+// watch waits for changes after a revision. If the store leaves that unanswered beyond its time,
+// it lists the kind beside it: a store may answer all calls but watches.
+func (w *watcher) watch(ctx context.Context, after plat.Version) (feed.Update, error) {
 	wait := w.timing.Timeout
 	if !w.confirmed {
 		wait = confirmTimeout
 	}
-	start := w.clock()
-	changes, _, err := w.store.Watch(ctx, plat.ClassConfig, w.kind, cached, wait)
-	if err != nil {
-		if took := w.clock().Sub(start); took > wait && errors.Is(err, plat.ErrUnavailable) {
-			w.log.Warn("watch not answered", zap.String("kind", string(w.kind)), zap.Stringer("after", cached), zap.Duration("took", took), zap.Duration("wait", wait))
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel() // ends the call that is not needed any more
+	type result struct {
+		update feed.Update
+		err    error
+	}
+	watched, listed := make(chan result, 1), make(chan result, 1)
+	go func() {
+		changes, _, err := w.store.Watch(ctx, plat.ClassConfig, w.kind, after, wait)
+		watched <- result{feed.Update{Kind: w.kind, Revision: lastRevision(after, changes), Changes: changes}, err}
+	}()
+	overdue := time.NewTimer(wait + overdueWait)
+	defer overdue.Stop()
+	for {
+		select {
+		case r := <-watched:
+			return r.update, r.err
+		case r := <-listed:
+			if r.err == nil {
+				return r.update, nil
+			}
+		case <-overdue.C:
+			w.log.Warn("watch not answered", zap.String("kind", string(w.kind)), zap.Stringer("after", after), zap.Duration("wait", wait))
+			w.reset() // its connection may be silent, and those kept for further calls too
+			go func() {
+				u, err := w.list(ctx)
+				listed <- result{u, err}
+			}()
 		}
-		return err
 	}
-	w.onUpdate(w.clock(), feed.Update{Kind: w.kind, Revision: lastRevision(cached, changes), Changes: changes})
-	return nil
 }
 
 // lastRevision returns the revision from which the next watch continues: that of the latest
