--- a/internal/syncer/controller.go
+++ b/internal/syncer/controller.go
@@ -103,15 +103,18 @@
 	pinned      *pinnedSessions
 	pinnedSent  uint64 // position up to which pins were sent to followers
 
-	started        time.Time
-	dataConfirmed  atomic.Bool // see confirmStart
-	membershipLock sync.Mutex  // acquired after cacheLock
-	membership     *feed.Membership
-	entryLost      atomic.Bool      // the store lost this router's entry
-	entryOfBefore  atomic.Bool      // the store may hold an entry of an earlier run of this router
-	linkChanged    chan struct{}    // see wakeManager
-	answered       answeredFollower // guarded by membershipLock
-	entryOld       atomic.Uint64    // version of this router's entry if it tells something else, 0 otherwise
+	started       time.Time
+	dataConfirmed atomic.Bool // see confirmStart
+	// configConfirmed is when the configuration was last confirmed. Requests need it without a
+	// lock.
+	configConfirmed instant
+	membershipLock  sync.Mutex // acquired after cacheLock
+	membership      *feed.Membership
+	entryLost       atomic.Bool      // the store lost this router's entry
+	entryOfBefore   atomic.Bool      // the store may hold an entry of an earlier run of this router
+	linkChanged     chan struct{}    // see wakeManager
+	answered        answeredFollower // guarded by membershipLock
+	entryOld        atomic.Uint64    // version of this router's entry if it tells something else, 0 otherwise
 
 	cacheLock    sync.Mutex // guards the fields below; acquired before lock
 	caches       map[plat.Key]*objectCache
@@ -179,9 +182,7 @@
 // ConfigAge returns the time since the store last confirmed to this router, or to one over
 // which its data comes, that the configuration is current. It is 0 before that.
 func (c *Controller) ConfigAge(now time.Time) time.Duration {
-	c.cacheLock.Lock()
-	defer c.cacheLock.Unlock()
-	confirmed := c.caches[c.codec.Prefixes().Configs].confirmed.at
+	confirmed := c.configConfirmed.get()
 	if confirmed.IsZero() {
 		return 0
 	}
@@ -372,6 +373,7 @@
 
 // updateStalenessLocked is updateStaleness for callers that hold c.cacheLock.
 func (c *Controller) updateStalenessLocked(now time.Time) {
+	c.configConfirmed.set(c.caches[c.codec.Prefixes().Configs].confirmed.at)
 	confirmed := c.caches[c.codec.Prefixes().Endpoints].confirmed.at
 	if confirmed.IsZero() {
 		return
