--- a/internal/syncer/cache.go
+++ b/internal/syncer/cache.go
@@ -105,7 +105,7 @@
 		if cached, known := oc.objects[c.Object.Key]; known && oc.outlives(c.Object, cached) {
 			oc.objects[c.Object.Key] = c.Object
 			present = append(present, c.Object)
-			forward.Changes = append(forward.Changes, plat.Change{Object: c.Object}) // of no revision, so that followers take it
+			forward.Changes = append(forward.Changes, plat.Change{Object: c.Object}) // without a revision, so that followers take it
 		}
 	}
 	if len(present) > 0 {
--- a/internal/syncer/watcher.go
+++ b/internal/syncer/watcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -238,7 +239,7 @@
 func (w *watcher) list(ctx context.Context) (feed.Update, error) {
 	objects, revision, err := w.store.ListWithVersion(ctx, plat.ClassConfig, w.kind)
 	if err != nil {
-		return feed.Update{}, err
+		return feed.Update{}, fmt.Errorf("reading all objects: %w", err)
 	}
 	changes := make([]plat.Change, len(objects))
 	for i, o := range objects {
@@ -270,7 +271,10 @@
 	for {
 		select {
 		case r := <-watched:
-			return r.update, r.err
+			if r.err != nil {
+				return feed.Update{}, fmt.Errorf("waiting for changes: %w", r.err)
+			}
+			return r.update, nil
 		case r := <-listed:
 			if r.err == nil {
 				return r.update, nil
